Log each decision on requests that were not served whole

Cause: an answer line said how a request ended but not why a leaf was chosen, why a part was not sent again, or when a leaf was passed over; rejections before any leaf was chosen and callers that left had no line at all.

Now a flight keeps what each send rested on, how it ended and what stood against a further one; the shell writes them only for requests that failed, were refused, came late or lack shards, and for four whole ones a second, within a bound of lines for each second. Leafs' states, node silence, lapses, rejections and abandoned requests get lines, each route's traffic one line in five seconds. Metrics gain queue time, age of knowledge, allowance left, store call times and response times.

--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -111,9 +111,14 @@
     }
 
     /// Applies a complete listing that holds for a revision: leafs that it doesn't
-    /// name are gone, unless something later is known of them.
-    pub fn list(&mut self, now: Time, listed: Vec<(id::Name, Record)>, revision: u64) -> bool {
-        let mut changed = false;
+    /// name are gone, unless something later is known of them. Returns the leafs that
+    /// this changes.
+    pub fn list(
+        &mut self,
+        now: Time,
+        listed: Vec<(id::Name, Record)>,
+        revision: u64,
+    ) -> Vec<id::Name> {
         let named: HashSet<&id::Name> = listed.iter().map(|(id, _)| id).collect();
         let missing: Vec<id::Name> = self
             .leafs
@@ -121,19 +126,30 @@
             .filter(|(id, known)| known.record.revision < revision && !named.contains(id))
             .map(|(id, _)| id.clone())
             .collect();
-        for id in missing {
-            changed |= self.apply(now, &id, Record { revision, entry: None });
-        }
-        for (id, record) in listed {
-            changed |= self.apply(now, &id, record);
-        }
+        let missing = missing.into_iter().map(|id| (id, Record { revision, entry: None }));
+        let changed = self.apply_all(now, missing.chain(listed));
         self.listed = self.listed.max(revision);
         changed
     }
 
-    /// Drops leafs whose lapse has run out; `true` if there were any. Leafs that went
-    /// long ago are forgotten.
-    pub fn expire(&mut self, now: Time) -> bool {
+    /// Applies several records; returns the leafs that this changes.
+    fn apply_all(
+        &mut self,
+        now: Time,
+        records: impl IntoIterator<Item = (id::Name, Record)>,
+    ) -> Vec<id::Name> {
+        let mut changed = Vec::new();
+        for (id, record) in records {
+            if self.apply(now, &id, record) {
+                changed.push(id);
+            }
+        }
+        changed
+    }
+
+    /// Drops leafs whose lapse has run out, and returns them. Leafs that went long ago
+    /// are forgotten.
+    pub fn expire(&mut self, now: Time) -> Vec<id::Name> {
         let listed = &mut self.listed;
         self.leafs.retain(|_, known| {
             let forget = known.gone.is_some_and(|at| now.since(at) >= FORGET);
@@ -143,14 +159,20 @@
             }
             !forget
         });
-        let mut changed = false;
-        for known in self.leafs.values_mut() {
+        let mut lapsed = Vec::new();
+        for (id, known) in &mut self.leafs {
             if known.lapse.as_ref().is_some_and(|(until, _)| *until <= now) {
                 known.lapse = None;
-                changed = true;
+                lapsed.push(id.clone());
             }
         }
-        changed
+        lapsed
+    }
+
+    /// What is known of a leaf.
+    #[must_use]
+    pub fn record(&self, id: &str) -> Option<&Record> {
+        self.leafs.get(id).map(|known| &known.record)
     }
 
     /// Leafs that may be given new requests.
@@ -174,15 +196,12 @@
     }
 
     /// Takes in what another node knows, which saw all changes up to a revision.
-    pub fn merge(&mut self, now: Time, delta: Delta, upto: u64) -> bool {
+    /// Returns the leafs that this changes.
+    pub fn merge(&mut self, now: Time, delta: Delta, upto: u64) -> Vec<id::Name> {
         if delta.complete {
             return self.list(now, delta.records, upto);
         }
-        let mut changed = false;
-        for (id, record) in delta.records {
-            changed |= self.apply(now, &id, record);
-        }
-        changed
+        self.apply_all(now, delta.records)
     }
 
     /// Number of leafs that are known, those that went lately included.
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -16,7 +16,7 @@
 mod leaf;
 mod search;
 
-pub use leaf::{Ending, Leaf, Report};
+pub use leaf::{Change, Ending, Leaf, Outlook, Report};
 pub use search::{Demand, Place};
 
 use leaf::Sent;
@@ -115,12 +115,16 @@
         self.leafs.get(&key)
     }
 
-    /// Expected response time of a request that usually takes `usual`.
+    /// What is known of a leaf that may be given a request that usually takes `usual`.
     #[must_use]
-    pub fn expected(&self, now: Time, key: Key, usual: Duration) -> Duration {
-        let leaf = self.leafs.get(&key);
-        let seconds = leaf.map_or(0.0, |leaf| leaf.estimate(now, usual, &self.zone));
-        Duration::try_from_secs_f64(seconds).unwrap_or(usual)
+    pub fn outlook(&self, now: Time, key: Key, usual: Duration) -> Outlook {
+        let Some(leaf) = self.leafs.get(&key) else { return Outlook::default() };
+        let seconds = leaf.estimate(now, usual, &self.zone);
+        Outlook {
+            expected: Duration::try_from_secs_f64(seconds).unwrap_or(usual),
+            in_flight: leaf.sent.len(),
+            report: leaf.report.map(|report| (report.requests, now.since(report.at))),
+        }
     }
 
     /// Leafs of a service that may be given requests.
@@ -228,17 +232,18 @@
         }
     }
 
-    /// Notes how a request that was given to a leaf at `sent` ended.
-    pub fn ended(&mut self, now: Time, key: Key, sent: Time, ending: Ending) {
+    /// Notes how a request that was given to a leaf at `sent` ended. Returns what that
+    /// changes for further requests.
+    pub fn ended(&mut self, now: Time, key: Key, sent: Time, ending: Ending) -> Option<Change> {
         let usable = self.is_usable(key);
-        let Some(leaf) = self.leafs.get_mut(&key) else { return };
+        let leaf = self.leafs.get_mut(&key)?;
         let position = leaf.sent.iter().position(|other| other.at == sent);
         let queueing = position.map_or(1.0, |position| leaf.sent.remove(position).queueing);
         if !usable && leaf.sent.is_empty() {
             self.leafs.remove(&key);
-            return;
+            return None;
         }
-        leaf.ended(now, queueing, ending);
+        leaf.ended(now, queueing, ending)
     }
 }
 
--- a/crates/dispatch/src/fleet/leaf.rs
+++ b/crates/dispatch/src/fleet/leaf.rs
@@ -68,6 +68,49 @@
     Cancelled,
 }
 
+impl Ending {
+    /// Short name, for logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Ending::Success { .. } => "success",
+            Ending::Failure => "failure",
+            Ending::Rejected => "rejected",
+            Ending::Misdirected => "misdirected",
+            Ending::Unreachable => "unreachable",
+            Ending::Silent => "silent",
+            Ending::Busy => "busy",
+            Ending::Crowded => "crowded",
+            Ending::Cancelled => "cancelled",
+        }
+    }
+}
+
+/// What the choice of a leaf rests on.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Outlook {
+    /// Expected response time.
+    pub expected: Duration,
+    /// Requests of this node that the leaf has in hand.
+    pub in_flight: usize,
+    /// Requests that it reported to have, with the age of that report.
+    pub report: Option<(u32, Duration)>,
+}
+
+/// What an ending changes for further requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The leaf is passed over for this time.
+    Paused(Duration),
+    /// The leaf answers again.
+    Back,
+    /// The leaf is given no more than this many requests at a time for a while: it
+    /// accepts no further connection.
+    Limited(usize),
+    /// The leaf is not used before a new entry of it: another one has its address.
+    Dropped,
+}
+
 /// Queue of a leaf as it reported it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Report {
@@ -157,7 +200,8 @@
 
     /// Notes how a request ended whose response the queue was expected to prolong by a
     /// factor.
-    pub(super) fn ended(&mut self, now: Time, queueing: f64, ending: Ending) {
+    pub(super) fn ended(&mut self, now: Time, queueing: f64, ending: Ending) -> Option<Change> {
+        let was_suspect = self.suspect;
         match ending {
             Ending::Success { took, usual } => {
                 let ratio = took.as_secs_f64() / queueing / usual.as_secs_f64().max(0.001);
@@ -177,23 +221,33 @@
                 self.observe(now, None, true);
                 self.last_answer = now;
             }
-            Ending::Misdirected => self.misdirected = true,
-            Ending::Unreachable => self.pause(now),
-            Ending::Silent if now.since(self.last_answer) > SILENCE => self.pause(now),
+            Ending::Misdirected => {
+                self.misdirected = true;
+                return Some(Change::Dropped);
+            }
+            Ending::Unreachable => return self.pause(now),
+            Ending::Silent if now.since(self.last_answer) > SILENCE => return self.pause(now),
             Ending::Silent => self.observe(now, Some(MAX_SLOWNESS), false),
-            Ending::Crowded => self.crowded = Some((self.sent.len(), now + CROWDED)),
+            Ending::Crowded => {
+                self.crowded = Some((self.sent.len(), now + CROWDED));
+                return Some(Change::Limited(self.sent.len()));
+            }
             Ending::Busy | Ending::Cancelled => {}
         }
+        (was_suspect && !self.suspect).then_some(Change::Back)
     }
 
-    /// Passes the leaf over for a while.
-    pub(super) fn pause(&mut self, now: Time) {
+    /// Passes the leaf over for a while, unless it is already.
+    pub(super) fn pause(&mut self, now: Time) -> Option<Change> {
         self.observe(now, None, true);
         self.suspect = true;
-        if self.paused_until <= now {
-            self.paused_until = now + self.pause;
-            self.pause = (self.pause * 2).min(MAX_PAUSE);
+        if self.paused_until > now {
+            return None;
         }
+        let pause = self.pause;
+        self.paused_until = now + pause;
+        self.pause = (pause * 2).min(MAX_PAUSE);
+        Some(Change::Paused(pause))
     }
 
     /// Requests that it may be given at a time.
--- a/crates/dispatch/src/flight.rs
+++ b/crates/dispatch/src/flight.rs
@@ -20,8 +20,14 @@
 use crate::merge;
 
 mod message;
+mod part;
+mod trail;
 
 pub use message::{Action, Answer, Outcome, Patience, Reply};
+pub use part::{Ended, Obstacle, Reason};
+pub use trail::{Event, Step};
+
+use part::{Part, Send};
 
 /// Share of the objective that is kept for the way between caller and node.
 const TRANSPORT_SHARE: f64 = 0.04;
@@ -88,52 +94,6 @@
     pub latency: &'a Latency,
 }
 
-#[derive(Debug)]
-struct Send {
-    leaf: Key,
-    open: bool,
-}
-
-#[derive(Debug)]
-struct Part {
-    service: id::Name,
-    sends: Vec<Send>,
-    /// Sends that reached a leaf or may have.
-    attempts: usize,
-    unsent: usize,
-    late: Option<Time>,
-    /// When a leaf is looked for again, while none can take the part.
-    waits: Option<Time>,
-    /// Whether it is counted among those that wait for room.
-    queued: bool,
-    reply: Option<Reply>,
-    failure: Option<Reply>,
-    may_have_run: bool,
-    dead: bool,
-}
-
-impl Part {
-    fn open(service: id::Name) -> Part {
-        Part {
-            service,
-            sends: Vec::new(),
-            attempts: 0,
-            unsent: 0,
-            late: None,
-            waits: None,
-            queued: false,
-            reply: None,
-            failure: None,
-            may_have_run: false,
-            dead: false,
-        }
-    }
-
-    fn is_pending(&self) -> bool {
-        self.reply.is_none() && !self.dead
-    }
-}
-
 /// When enough leafs may be tried again for a caller to come back.
 fn come_back(now: Time, places: &[Place]) -> Duration {
     let later = places.iter().filter_map(|place| match place {
@@ -168,6 +128,9 @@
     /// When leafs are looked for again, while there are too few.
     queued: Option<Time>,
     deadline: Time,
+    opened: Time,
+    /// When its parts were first given to leafs, or it was refused.
+    admitted: Option<Time>,
     finished: bool,
 }
 
@@ -211,6 +174,8 @@
             place_by: place_by.min(deadline),
             queued: None,
             deadline,
+            opened: now,
+            admitted: None,
             finished: false,
             route,
         }
@@ -233,7 +198,7 @@
     pub fn tally(&self) -> Tally {
         Tally {
             done: self.done(),
-            dead: self.parts.iter().filter(|part| part.dead).count(),
+            dead: self.parts.iter().filter(|part| part.is_dead()).count(),
             extra: self.parts.iter().map(|part| part.sends.len().saturating_sub(1)).sum(),
         }
     }
@@ -267,6 +232,7 @@
         if placed < self.least.max(1) {
             let hopeful = places.iter().filter(|place| self.is_hopeful(place)).count();
             if hopeful < self.least.max(1) || now >= self.admit_by {
+                self.admitted = Some(now);
                 return self.finish(Answer::Refused { retry_after: come_back(now, &places) });
             }
             let looks = places.iter().filter_map(|place| match place {
@@ -278,6 +244,7 @@
             return Vec::new();
         }
         self.queued = None;
+        self.admitted = Some(now);
         let mut actions = Vec::with_capacity(self.parts.len());
         for (part, place) in places.into_iter().enumerate() {
             self.follow(now, part, place, world, &mut actions);
@@ -305,30 +272,11 @@
         world: &mut World<'_>,
     ) -> Vec<Action> {
         let mut actions = Vec::new();
-        let state = &mut self.parts[part];
-        if let Some(send) = state.sends.iter_mut().find(|send| send.leaf == leaf) {
-            send.open = false;
-        }
-        match outcome {
-            Outcome::Success(reply) => {
-                state.may_have_run = true;
-                state.reply.get_or_insert(reply);
-            }
-            Outcome::Failure(reply) => {
-                state.may_have_run = true;
-                state.failure = Some(reply);
-            }
-            Outcome::Unknown => state.may_have_run = true,
-            Outcome::NotRun => {}
-            Outcome::Unsent => {
-                state.attempts = state.attempts.saturating_sub(1);
-                state.unsent += 1;
-            }
-        }
+        self.parts[part].ended(now, leaf, outcome);
         if self.finished {
             return actions;
         }
-        if self.parts[part].is_pending() && !self.parts[part].sends.iter().any(|send| send.open) {
+        if self.parts[part].is_pending() && !self.parts[part].has_open_send() {
             self.resend(now, part, world, &mut actions);
         }
         self.settle(now, world, &mut actions);
@@ -353,8 +301,8 @@
             let state = &mut self.parts[part];
             if state.is_pending() && state.late.is_some_and(|late| late <= now) {
                 state.late = None;
-                if self.route.idempotent && self.has_attempt(part) {
-                    self.send_extra(now, part, world, &mut actions);
+                if let Err(obstacle) = self.hedge(now, part, world, &mut actions) {
+                    self.parts[part].held = Some((now, obstacle));
                 }
             }
         }
@@ -400,14 +348,21 @@
         slow.min(usual).min(self.answer_by.since(now).mul_f64(share))
     }
 
-    fn give(&mut self, now: Time, part: usize, leaf: Key, world: &mut World<'_>) -> Action {
+    fn give(
+        &mut self,
+        now: Time,
+        part: usize,
+        leaf: Key,
+        reason: Reason,
+        world: &mut World<'_>,
+    ) -> Action {
         self.dequeue(part, world);
-        let usual = world.latency.quantile(0.5);
+        let outlook = world.fleet.outlook(now, leaf, world.latency.quantile(0.5));
         // A leaf that is known to be slow was the best choice: another is no quicker.
-        let expected = world.fleet.expected(now, leaf, usual).mul_f64(LATE_EXPECTED);
+        let expected = outlook.expected.mul_f64(LATE_EXPECTED);
         let late = self.lateness(now, world.latency).max(expected);
         let state = &mut self.parts[part];
-        state.sends.push(Send { leaf, open: true });
+        state.sends.push(Send { leaf, at: now, reason, outlook, ended: None });
         state.attempts += 1;
         state.late = (state.sends.len() == 1).then(|| now + late);
         Action::Send { part, leaf }
@@ -429,7 +384,9 @@
     ) {
         let place_by = self.place_by;
         match place {
-            Place::Leaf(leaf) => actions.push(self.give(now, part, leaf, world)),
+            Place::Leaf(leaf) => {
+                actions.push(self.give(now, part, leaf, Reason::First, world));
+            }
             Place::Queue(at) if at < place_by => {
                 let state = &mut self.parts[part];
                 let wait = at.since(now).mul_f64(0.5).clamp(LOOK, MAX_LOOK);
@@ -443,7 +400,7 @@
                 self.parts[part].waits = Some(at.max(now + LOOK));
             }
             Place::Queue(_) | Place::Later(_) | Place::Nowhere => {
-                self.parts[part].dead = true;
+                self.parts[part].dead = Some((now, Obstacle::NoLeaf));
                 self.dequeue(part, world);
             }
         }
@@ -462,29 +419,52 @@
         &mut self,
         now: Time,
         part: usize,
+        reason: Reason,
         world: &mut World<'_>,
         actions: &mut Vec<Action>,
-    ) {
-        if let Place::Leaf(leaf) = self.place(now, part, world)
-            && world.budget.take(now, &self.parts[part].service)
-        {
-            actions.push(self.give(now, part, leaf, world));
+    ) -> Result<(), Obstacle> {
+        let Place::Leaf(leaf) = self.place(now, part, world) else {
+            return Err(Obstacle::NoLeaf);
+        };
+        if !world.budget.take(now, &self.parts[part].service) {
+            return Err(Obstacle::Budget);
+        }
+        actions.push(self.give(now, part, leaf, reason, world));
+        Ok(())
+    }
+
+    /// Gives a late part to a further leaf too.
+    fn hedge(
+        &mut self,
+        now: Time,
+        part: usize,
+        world: &mut World<'_>,
+        actions: &mut Vec<Action>,
+    ) -> Result<(), Obstacle> {
+        if !self.route.idempotent {
+            return Err(Obstacle::MayHaveRun);
+        }
+        if !self.has_attempt(part) {
+            return Err(Obstacle::Attempts);
         }
+        self.send_extra(now, part, Reason::Late, world, actions)
     }
 
     /// Gives a part whose sends have all ended to another leaf, or gives it up.
     fn resend(&mut self, now: Time, part: usize, world: &mut World<'_>, actions: &mut Vec<Action>) {
         let state = &self.parts[part];
         let may_repeat = self.route.idempotent || !state.may_have_run;
-        if !may_repeat || !self.has_attempt(part) {
-            self.parts[part].dead = true;
+        let obstacle = if !may_repeat {
+            Err(Obstacle::MayHaveRun)
+        } else if !self.has_attempt(part) {
+            Err(Obstacle::Attempts)
         } else if state.attempts == 0 {
             self.send(now, part, world, actions);
+            return;
         } else {
-            let before = actions.len();
-            self.send_extra(now, part, world, actions);
-            self.parts[part].dead = actions.len() == before;
-        }
+            self.send_extra(now, part, Reason::Failed, world, actions)
+        };
+        self.parts[part].dead = obstacle.err().map(|obstacle| (now, obstacle));
     }
 
     /// Answers if the answer is known.
@@ -492,7 +472,7 @@
         if self.finished {
             return;
         }
-        let dead = self.parts.iter().filter(|part| part.dead).count();
+        let dead = self.parts.iter().filter(|part| part.is_dead()).count();
         let done = self.done();
         let total = self.parts.len();
         let complete = done + dead == total && done >= self.least.max(1);
@@ -525,8 +505,8 @@
     }
 
     fn failure(&mut self, now: Time, world: &World<'_>) -> Answer {
-        if !self.parts.iter().any(|part| part.may_have_run || part.sends.iter().any(|s| s.open)) {
-            let returns = self.parts.iter().filter(|part| part.dead);
+        if !self.parts.iter().any(|part| part.may_have_run || part.has_open_send()) {
+            let returns = self.parts.iter().filter(|part| part.is_dead());
             let returns = returns.filter_map(|part| world.fleet.returns(now, &part.service)).max();
             let retry_after = returns.map_or(COME_BACK, |at| at.since(now));
             return Answer::Refused { retry_after };
--- /dev/null
+++ b/crates/dispatch/src/flight/part.rs
@@ -0,0 +1,160 @@
+//! One part of a request: to which leafs it was given, and how that ended.
+
+use jacinthfall_core::id;
+use jacinthfall_core::time::Time;
+
+use super::message::{Outcome, Reply};
+use crate::fleet::{Key, Outlook};
+
+/// Why a part was given to a leaf.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// It was the first leaf for the part.
+    First,
+    /// The leaf before was late.
+    Late,
+    /// The leaf before failed, rejected the part or broke off.
+    Failed,
+}
+
+/// Why a part was not given to a further leaf.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Obstacle {
+    /// The request may have run and must not run twice.
+    MayHaveRun,
+    /// The route's attempts were used up.
+    Attempts,
+    /// No leaf could take it in time.
+    NoLeaf,
+    /// The bound on extra sends was reached.
+    Budget,
+}
+
+/// How a send ended, without the response itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// The leaf answered with success.
+    Success,
+    /// The leaf ran the request and failed.
+    Failure,
+    /// The leaf did not run the request.
+    NotRun,
+    /// Nothing reached the leaf.
+    Unsent,
+    /// No usable response came; the request may have run.
+    Unknown,
+}
+
+impl From<&Outcome> for Ended {
+    fn from(outcome: &Outcome) -> Ended {
+        match outcome {
+            Outcome::Success(_) => Ended::Success,
+            Outcome::Failure(_) => Ended::Failure,
+            Outcome::NotRun => Ended::NotRun,
+            Outcome::Unsent => Ended::Unsent,
+            Outcome::Unknown => Ended::Unknown,
+        }
+    }
+}
+
+/// A part that a leaf was given.
+#[derive(Debug)]
+pub(super) struct Send {
+    pub(super) leaf: Key,
+    pub(super) at: Time,
+    pub(super) reason: Reason,
+    /// What the choice of the leaf rested on.
+    pub(super) outlook: Outlook,
+    pub(super) ended: Option<(Time, Ended)>,
+}
+
+impl Send {
+    pub(super) fn is_open(&self) -> bool {
+        self.ended.is_none()
+    }
+}
+
+#[derive(Debug)]
+pub(super) struct Part {
+    pub(super) service: id::Name,
+    pub(super) sends: Vec<Send>,
+    /// Sends that reached a leaf or may have.
+    pub(super) attempts: usize,
+    pub(super) unsent: usize,
+    pub(super) late: Option<Time>,
+    /// When a leaf is looked for again, while none can take the part.
+    pub(super) waits: Option<Time>,
+    /// Whether it is counted among those that wait for room.
+    pub(super) queued: bool,
+    pub(super) reply: Option<Reply>,
+    pub(super) failure: Option<Reply>,
+    pub(super) may_have_run: bool,
+    /// Why it was not sent again when it was late.
+    pub(super) held: Option<(Time, Obstacle)>,
+    /// When and why it was given up.
+    pub(super) dead: Option<(Time, Obstacle)>,
+}
+
+impl Part {
+    pub(super) fn open(service: id::Name) -> Part {
+        Part {
+            service,
+            sends: Vec::new(),
+            attempts: 0,
+            unsent: 0,
+            late: None,
+            waits: None,
+            queued: false,
+            reply: None,
+            failure: None,
+            may_have_run: false,
+            held: None,
+            dead: None,
+        }
+    }
+
+    pub(super) fn is_pending(&self) -> bool {
+        self.reply.is_none() && self.dead.is_none()
+    }
+
+    pub(super) fn is_dead(&self) -> bool {
+        self.dead.is_some()
+    }
+
+    pub(super) fn has_open_send(&self) -> bool {
+        self.sends.iter().any(Send::is_open)
+    }
+
+    /// Takes in how the send to a leaf ended.
+    pub(super) fn ended(&mut self, now: Time, leaf: Key, outcome: Outcome) {
+        let ended = Ended::from(&outcome);
+        if let Some(send) = self.sends.iter_mut().find(|send| send.leaf == leaf) {
+            send.ended = Some((now, ended));
+        }
+        match outcome {
+            Outcome::Success(reply) => {
+                self.may_have_run = true;
+                self.reply.get_or_insert(reply);
+            }
+            Outcome::Failure(reply) => {
+                self.may_have_run = true;
+                self.failure = Some(reply);
+            }
+            Outcome::Unknown => self.may_have_run = true,
+            Outcome::NotRun => {}
+            Outcome::Unsent => {
+                self.attempts = self.attempts.saturating_sub(1);
+                self.unsent += 1;
+            }
+        }
+    }
+
+    /// When its first answer came.
+    pub(super) fn answered(&self) -> Option<Time> {
+        let successes = self.sends.iter().filter_map(|send| match send.ended {
+            Some((at, Ended::Success)) => Some(at),
+            _ => None,
+        });
+        successes.min()
+    }
+}
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -100,6 +100,17 @@
     pub active: bool,
     /// Share of its capacity that was in use, in thousandths.
     pub load: u16,
+    /// Whether its silence was told.
+    silent: bool,
+}
+
+/// What became of a node that isn't heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// It isn't named to callers before it is heard again.
+    Silent,
+    /// It is no longer known.
+    Forgotten,
 }
 
 impl Member {
@@ -112,6 +123,7 @@
             store_answers: false,
             active: false,
             load: 0,
+            silent: true,
         }
     }
 
@@ -129,11 +141,11 @@
 }
 
 impl Roster {
-    /// Takes in a heartbeat; `true` if the sender's phase or life is news.
+    /// Takes in a heartbeat; `true` if the sender's phase, life or voice is news.
     pub fn heartbeat(&mut self, now: Time, beat: &Heartbeat) -> bool {
         let name = &beat.node.name;
         let before = self.members.get(name);
-        let news = before.is_none_or(|m| m.phase != beat.phase || m.node != beat.node);
+        let news = before.is_none_or(|m| m.phase != beat.phase || m.node != beat.node || m.silent);
         let registered = before.is_some_and(|m| m.registered && m.node == beat.node);
         let member = Member {
             node: beat.node.clone(),
@@ -143,6 +155,7 @@
             store_answers: beat.store_answers,
             active: beat.active,
             load: beat.load,
+            silent: false,
         };
         self.members.insert(name.clone(), member);
         news
@@ -174,12 +187,25 @@
         }
     }
 
-    /// Forgets nodes that are neither heard nor registered.
-    pub fn expire(&mut self, now: Time) {
-        self.members.retain(|_, member| {
-            let heard = member.heard.is_some_and(|at| now.since(at) < FORGET);
-            heard || member.registered
+    /// Forgets nodes that are neither heard nor registered. Returns what became of
+    /// nodes since the last call; nodes of other zones are heard too seldom to tell
+    /// their silence, unless there are few nodes.
+    pub fn expire(&mut self, now: Time, zone: &str) -> Vec<(id::Name, Change)> {
+        let mut changes = Vec::new();
+        let small = self.members.len() <= SMALL;
+        self.members.retain(|name, member| {
+            let known = member.registered || member.heard.is_some_and(|at| now.since(at) < FORGET);
+            if !known {
+                changes.push((name.clone(), Change::Forgotten));
+            } else if small || *member.node.zone == *zone {
+                let silent = !member.is_heard(now);
+                if silent && !std::mem::replace(&mut member.silent, silent) {
+                    changes.push((name.clone(), Change::Silent));
+                }
+            }
+            known
         });
+        changes
     }
 
     /// The other nodes.
--- a/crates/dispatch/tests/suite/roster.rs
+++ b/crates/dispatch/tests/suite/roster.rs
@@ -57,7 +57,7 @@
     roster.heartbeat(Time(0), &beat("a", Phase::Serving));
     roster.registered(Time(0), node("b", 1));
 
-    roster.expire(Time(0) + FORGET);
+    roster.expire(Time(0) + FORGET, "z1");
 
     let names: Vec<_> = roster.members().map(|member| member.node.name.to_string()).collect();
     assert_eq!(names, ["b"]);
@@ -80,7 +80,7 @@
     let mut roster = Roster::default();
     roster.heartbeat(Time(0), &beat("a", Phase::Serving));
     assert_eq!(roster.active(Time(0), hold), 2);
-    roster.expire(Time(0) + FORGET);
+    roster.expire(Time(0) + FORGET, "z1");
 
     assert_eq!(roster.active(Time(0) + hold, hold), 2);
     assert_eq!(roster.active(Time(1) + hold, hold), 1);
--- a/src/gateway/addresses.rs
+++ b/src/gateway/addresses.rs
@@ -24,7 +24,10 @@
 const IDLE: Duration = Duration::from_secs(10);
 
 /// Path of the metrics, in the Prometheus text format.
-const METRICS: &str = "/metrics";
+pub const METRICS: &str = "/metrics";
+
+/// Path of the latest lines about the request that the query names, as `id=ID`.
+pub const TRACE: &str = "/trace";
 
 /// Serves questions for addresses, readiness and metrics, for as long as the process runs.
 pub async fn serve(hub: Arc<Hub>, listener: TcpListener) {
@@ -53,6 +56,7 @@
             let serving = hub.tables().phase == Phase::Serving;
             status(if serving { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
         }
+        TRACE => trace(hub, request.uri().query().unwrap_or_default()),
         METRICS => Response::new(Full::new(hub.metrics.render().into())),
         lookup::ADDRESSES => addresses(hub, request.uri().query().unwrap_or_default()),
         _ => status(StatusCode::NOT_FOUND),
@@ -76,6 +80,17 @@
     response
 }
 
+/// The lines that are kept about a request, or 404 if there are none.
+fn trace(hub: &Hub, query: &str) -> Response<Full<Bytes>> {
+    let mut fields = query.split('&').filter_map(|field| field.split_once('='));
+    let id = fields.find(|(name, _)| *name == "id").map_or("", |(_, id)| id);
+    let lines = hub.audit.kept(id);
+    if lines.is_empty() {
+        return status(StatusCode::NOT_FOUND);
+    }
+    Response::new(Full::new(lines.into()))
+}
+
 fn status(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = status;
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -19,15 +19,15 @@
 use jacinthfall_dispatch::fleet::Key;
 use jacinthfall_dispatch::flight::{Action, Answer, Flight, Outcome, Patience};
 use jacinthfall_route::snapshot::{Limits, Route, Snapshot, Target};
-use metrics::{counter, histogram};
+use metrics::histogram;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
+use super::audit;
 use super::hub::Hub;
 use super::leafs::{self, Outbound};
 use super::listener;
-use crate::util::lock::lock;
 
 /// When a caller should come back to a node that doesn't know any route yet.
 const STARTING: Duration = Duration::from_millis(300);
@@ -103,10 +103,16 @@
 
 async fn answer(hub: &Arc<Hub>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let _in_hand = InHand::open(hub);
-    let mut response = match route(hub, &request) {
+    let asked = Asked::of(&request);
+    let result = match route(hub, &request) {
         Ok((snapshot, route)) => handle(hub, &snapshot, &route, request).await,
-        Err(rejection) => rejection.response(),
+        Err(rejection) => Err(rejection),
     };
+    let mut response = result.unwrap_or_else(|rejection| {
+        let response = rejection.response();
+        asked.rejected(hub, rejection, response.status());
+        response
+    });
     if hub.tables().phase == jacinthfall_dispatch::roster::Phase::Leaving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -129,6 +135,16 @@
 }
 
 impl Rejection {
+    const fn name(self) -> &'static str {
+        match self {
+            Rejection::Starting => "starting",
+            Rejection::NotFound => "no_route",
+            Rejection::NoId => "no_id",
+            Rejection::TooLarge => "too_large",
+            Rejection::Incomplete => "incomplete",
+        }
+    }
+
     fn response(self) -> Response<Full<Bytes>> {
         match self {
             Rejection::Starting => refusal(STARTING),
@@ -142,11 +158,42 @@
     }
 }
 
+/// What a caller asked for, for the log line of a request that isn't passed on.
+struct Asked {
+    id: Option<HeaderValue>,
+    host: String,
+    target: Uri,
+}
+
+impl Asked {
+    fn of(request: &Request<Incoming>) -> Asked {
+        Asked {
+            id: request.headers().get(header::REQUEST_ID).cloned(),
+            host: host(request).to_owned(),
+            target: request.uri().clone(),
+        }
+    }
+
+    fn rejected(&self, hub: &Hub, rejection: Rejection, status: StatusCode) {
+        let rejected = audit::Rejected {
+            id: self.id.as_ref(),
+            status,
+            reason: rejection.name(),
+            host: &self.host,
+            path: self.target.path(),
+        };
+        hub.audit.rejected(hub, &rejected);
+    }
+}
+
+fn host(request: &Request<Incoming>) -> &str {
+    let host = request.uri().authority().map(|authority| authority.as_str());
+    host.or_else(|| request.headers().get(HOST)?.to_str().ok()).unwrap_or_default()
+}
+
 fn route(hub: &Hub, request: &Request<Incoming>) -> Result<(Arc<Snapshot>, Arc<Route>), Rejection> {
     let snapshot = hub.snapshot().ok_or(Rejection::Starting)?;
-    let host = request.uri().authority().map(|authority| authority.as_str());
-    let host = host.or_else(|| request.headers().get(HOST)?.to_str().ok());
-    let route = snapshot.route(host.unwrap_or_default(), request.uri().path());
+    let route = snapshot.route(host(request), request.uri().path());
     let route = Arc::clone(route.ok_or(Rejection::NotFound)?);
     Ok((snapshot, route))
 }
@@ -156,12 +203,9 @@
     snapshot: &Snapshot,
     route: &Arc<Route>,
     request: Request<Incoming>,
-) -> Response<Full<Bytes>> {
+) -> Result<Response<Full<Bytes>>, Rejection> {
     let now = hub.now();
-    let outbound = match outbound(hub, snapshot, route, request, now).await {
-        Ok(outbound) => outbound,
-        Err(rejection) => return rejection.response(),
-    };
+    let outbound = outbound(hub, snapshot, route, request, now).await?;
     let service = match &route.target {
         Target::Split(shares) => hub.tables().lessons(route).dealer.next(shares),
         Target::Service(_) | Target::Gather(_) => None,
@@ -169,7 +213,7 @@
     let patience = Patience { deadline: outbound.deadline, spent: outbound.spent };
     let flight = Flight::open(Arc::clone(route), service, now, patience);
     let answer = Run::open(hub, route, snapshot.version, flight, outbound).finish().await;
-    respond(answer)
+    Ok(respond(answer))
 }
 
 /// Reads a request completely, as it is passed on.
@@ -246,6 +290,9 @@
     outbound: Arc<Outbound>,
     /// Version of the configuration that the request began with.
     version: u64,
+    arrived: Time,
+    /// Whether the end of the request is noted.
+    noted: bool,
     sends: Sends,
     ended: (mpsc::UnboundedSender<Ended>, mpsc::UnboundedReceiver<Ended>),
 }
@@ -260,16 +307,16 @@
     ) -> Self {
         let ended = mpsc::unbounded_channel();
         let (outbound, sends) = (Arc::new(outbound), Sends::default());
-        Run { hub, route, flight, outbound, version, sends, ended }
+        let arrived = hub.now();
+        Run { hub, route, flight, outbound, version, arrived, noted: false, sends, ended }
     }
 
     /// Runs the request to its answer.
     async fn finish(mut self) -> Answer {
-        let started = self.hub.now();
         let mut actions = self.decide(|flight, now, world| flight.start(now, world));
         loop {
             if let Some(answer) = self.carry_out(actions) {
-                self.note(started, &answer);
+                self.note(Some(&answer));
                 // What is still under way only teaches how long leafs take.
                 self.sends.keep = true;
                 return answer;
@@ -338,76 +385,37 @@
         self.sends.handles.push(task.abort_handle());
     }
 
-    fn note(&self, started: Time, answer: &Answer) {
-        let took = self.hub.now().since(started);
-        let tally = self.flight.tally();
-        let (outcome, detail) = describe(answer);
-        let route = self.route.name.to_string();
-        let labels = [("route", route.clone()), ("outcome", outcome.to_owned())];
-        counter!("jacinthfall_requests_total", &labels).increment(1);
-        histogram!("jacinthfall_request_seconds", "route" => route.clone()).record(took);
-        if tally.extra > 0 {
-            let extra = tally.extra as u64;
-            counter!("jacinthfall_extra_sends_total", "route" => route.clone()).increment(extra);
-        }
-        if let Answer::Merged { missing: missing @ 1.., .. } = answer {
-            let missing = *missing as u64;
-            counter!("jacinthfall_missing_parts_total", "route" => route).increment(missing);
-        }
-        let whole = matches!(answer, Answer::Forward(reply) if reply.status.is_success())
-            || matches!(answer, Answer::Merged { missing: 0, .. });
-        if whole && took <= self.route.objective {
-            return;
-        }
-        let urgent = matches!(answer, Answer::Refused { .. } | Answer::Failed(_));
-        let admitted = lock(&self.hub.answer_lines).admit(self.hub.now(), urgent);
-        let Some(passed_over) = admitted else { return };
-        log::info!(
-            "event=answer id={:?} route={} outcome={outcome} detail={detail} took_ms={} parts={} \
-             done={} dead={} extra={} missing=[{}] deadline_ms={} spent_ms={} version={} \
-             passed_over={passed_over}",
-            self.outbound.id,
-            self.route.name,
-            took.as_millis(),
-            self.flight.parts(),
-            tally.done,
-            tally.dead,
-            tally.extra,
-            self.missing(),
-            self.outbound.deadline.since(started).as_millis(),
-            self.outbound.spent.as_millis(),
-            self.version
-        );
+    /// Notes the answer, or that the caller left before there was one.
+    fn note(&mut self, answer: Option<&Answer>) {
+        self.noted = true;
+        let request = audit::Request {
+            id: &self.outbound.id,
+            route: self.route,
+            flight: &self.flight,
+            arrived: self.arrived,
+            deadline: self.outbound.deadline,
+            spent: self.outbound.spent,
+            version: self.version,
+        };
+        self.hub.audit.answered(self.hub, &request, answer);
     }
+}
 
-    /// Parts without an answer, with the leafs that were given them.
-    fn missing(&self) -> String {
-        let tables = self.hub.tables();
-        let leaf = |key: &Key| tables.fleet.leaf(*key).map(|leaf| leaf.id.to_string());
-        let parts = self.flight.missing().map(|(service, keys)| {
-            let leafs: Vec<String> = keys.iter().filter_map(leaf).collect();
-            format!("{service}:{}", leafs.join("+"))
-        });
-        parts.collect::<Vec<_>>().join(" ")
+impl Drop for Run<'_> {
+    fn drop(&mut self) {
+        if !self.noted {
+            self.note(None);
+        }
     }
 }
 
 fn learn(hub: &Hub, route: &id::Name, took: Duration) {
+    histogram!("jacinthfall_response_seconds", "route" => route.clone()).record(took);
     if let Some(lessons) = hub.tables().routes.get_mut(route) {
         lessons.latency.add(took);
     }
 }
 
-fn describe(answer: &Answer) -> (&'static str, u64) {
-    match answer {
-        Answer::Forward(reply) if reply.status.is_success() => ("success", 0),
-        Answer::Forward(reply) => ("leaf_failure", reply.status.as_u16().into()),
-        Answer::Merged { missing, .. } => ("merged", *missing as u64),
-        Answer::Refused { retry_after } => ("refused", retry_after.as_millis() as u64),
-        Answer::Failed(status) => ("failed", status.as_u16().into()),
-    }
-}
-
 fn respond(answer: Answer) -> Response<Full<Bytes>> {
     match answer {
         Answer::Forward(reply) => {
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -22,10 +22,10 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::sync::Notify;
 
+use super::audit::{self, Audit};
 use super::leafs::Pool;
 use super::settings::Settings;
 use crate::util::lock::lock;
-use crate::util::output::Sampler;
 
 /// Time between two looks at what has run out.
 const TEND_INTERVAL: Duration = Duration::from_millis(250);
@@ -114,6 +114,8 @@
     pub catalog: Catalog,
     /// Store revision up to which all changes are known; 0 before anything is.
     pub upto: u64,
+    /// When the store, or a node that it answers, last showed that nothing later is known.
+    pub confirmed: Time,
     /// Leafs that requests are placed on.
     pub fleet: Fleet,
     /// Bound on extra sends.
@@ -137,6 +139,12 @@
         World { fleet, budget, latency: &lessons(routes, route).latency }
     }
 
+    /// Version of the configuration in force; 0 before any is.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |known| known.snapshot.version)
+    }
+
     /// Whether callers use this node.
     #[must_use]
     pub fn is_active(&self) -> bool {
@@ -191,12 +199,14 @@
     pub pool: Pool,
     /// Renders the metrics.
     pub metrics: PrometheusHandle,
-    /// Bounds the log lines about answers.
-    pub answer_lines: Mutex<Sampler>,
+    /// Lines and counts about requests.
+    pub audit: Audit,
     /// Requests in hand.
     pub in_hand: AtomicUsize,
     /// Whether the store answered the latest call.
     pub store_answers: AtomicBool,
+    /// Whether the store has answered any call.
+    pub store_seen: AtomicBool,
     /// Woken when the store stopped answering or answers again.
     pub store_turned: Notify,
     /// Woken when this node's own state changed and others should hear of it.
@@ -227,6 +237,7 @@
             configuration: None,
             catalog: Catalog::default(),
             upto: 0,
+            confirmed: Time(0),
             fleet: Fleet::open(settings.zone.clone(), seed),
             budget: Budget::open(settings.budget(), nodes),
             routes: HashMap::new(),
@@ -240,9 +251,10 @@
             own,
             pool: Pool::default(),
             metrics,
-            answer_lines: Mutex::default(),
+            audit: Audit::default(),
             in_hand: AtomicUsize::new(0),
             store_answers: AtomicBool::new(false),
+            store_seen: AtomicBool::new(false),
             store_turned: Notify::new(),
             news: Notify::new(),
             closing: tokio::sync::watch::Sender::new(false),
@@ -306,8 +318,9 @@
         self.advance();
     }
 
-    /// Takes over a change of what is known of leafs.
-    pub fn leafs_changed(self: &Arc<Self>) {
+    /// Takes over a change of what is known of leafs, which came from `source`.
+    pub fn leafs_changed(self: &Arc<Self>, changed: &[id::Name], source: &str) {
+        self.audit.leafs_changed(self, changed, source);
         let now = self.now();
         let (unused, warm) = {
             let mut tables = self.tables();
@@ -355,35 +368,30 @@
     loop {
         pause.tick().await;
         let now = hub.now();
-        let expired = {
+        let (silent, lapsed) = {
             let mut tables = hub.tables();
-            tables.roster.expire(now);
+            let silent = tables.roster.expire(now, &hub.own.zone);
             tables.parts.tick();
             let active = tables.roster.active(now, SHRINK_AFTER);
             let known = tables.roster.len() + 1;
             let settled = now.since(Time(0)) > SHRINK_AFTER;
             let least = if settled { known.min(INITIAL_NODES) } else { INITIAL_NODES };
             tables.share(active.max(least));
-            tables.catalog.expire(now)
+            (silent, tables.catalog.expire(now))
         };
-        if expired {
-            hub.leafs_changed();
+        for (name, change) in silent {
+            log::info!("event=node name={name} phase={change:?}");
+        }
+        if !lapsed.is_empty() {
+            hub.leafs_changed(&lapsed, "lapse");
         }
         hub.pool.expire(now);
-        show(&hub);
+        hub.audit.summarize(&hub);
+        audit::show(&hub);
+        let in_hand = hub.in_hand.load(Ordering::Relaxed);
+        gauge!("jacinthfall_requests_in_hand").set(in_hand as f64);
+        let answers = hub.store_answers.load(Ordering::Relaxed);
+        gauge!("jacinthfall_store_answers").set(if answers { 1.0 } else { 0.0 });
+        hub.metrics.run_upkeep();
     }
 }
-
-/// Shows what the node knows in its metrics.
-fn show(hub: &Hub) {
-    let tables = hub.tables();
-    let version = tables.configuration.as_ref().map_or(0, |known| known.snapshot.version);
-    gauge!("jacinthfall_configuration_version").set(version as f64);
-    gauge!("jacinthfall_leafs_usable").set(tables.catalog.usable().count() as f64);
-    gauge!("jacinthfall_nodes").set(tables.nodes as f64);
-    gauge!("jacinthfall_requests_in_hand").set(hub.in_hand.load(Ordering::Relaxed) as f64);
-    let answers = hub.store_answers.load(Ordering::Relaxed);
-    gauge!("jacinthfall_store_answers").set(if answers { 1.0 } else { 0.0 });
-    drop(tables);
-    hub.metrics.run_upkeep();
-}
--- a/src/gateway/leafs.rs
+++ b/src/gateway/leafs.rs
@@ -283,19 +283,11 @@
 impl Drop for Watch<'_> {
     fn drop(&mut self) {
         let now = self.hub.now();
-        let outcome = match self.ending {
-            Ending::Success { .. } => "success",
-            Ending::Failure => "failure",
-            Ending::Rejected => "rejected",
-            Ending::Misdirected => "misdirected",
-            Ending::Unreachable => "unreachable",
-            Ending::Silent => "silent",
-            Ending::Busy => "busy",
-            Ending::Crowded => "crowded",
-            Ending::Cancelled => "cancelled",
-        };
-        counter!("jacinthfall_sends_total", "outcome" => outcome).increment(1);
-        self.hub.tables().fleet.ended(now, self.key, self.sent, self.ending);
+        counter!("jacinthfall_sends_total", "outcome" => self.ending.name()).increment(1);
+        let change = self.hub.tables().fleet.ended(now, self.key, self.sent, self.ending);
+        if let Some(change) = change {
+            self.hub.audit.leaf_changed(self.hub, self.key, self.ending, change);
+        }
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! ([`hub::Hub::tables`]).
 
 pub mod addresses;
+pub mod audit;
 pub mod callers;
 pub mod hub;
 pub mod leafs;
@@ -49,7 +50,23 @@
     let handle = recorder.handle();
     metrics::set_global_recorder(recorder)?;
     describe_counter!("jacinthfall_requests_total", "Requests by route and outcome");
-    describe_histogram!("jacinthfall_request_seconds", "Time to answer a request, by route");
+    describe_histogram!(
+        "jacinthfall_request_seconds",
+        "Time to answer a request, by route and outcome"
+    );
+    describe_histogram!(
+        "jacinthfall_queue_seconds",
+        "Time until enough parts of a request had a leaf, by route"
+    );
+    describe_histogram!(
+        "jacinthfall_response_seconds",
+        "Time of a send until the leaf's success, by route"
+    );
+    describe_histogram!("jacinthfall_store_call_seconds", "Time of calls to the store, by kind");
+    describe_counter!(
+        "jacinthfall_rejections_total",
+        "Requests answered before any leaf was chosen, by reason"
+    );
     describe_counter!("jacinthfall_extra_sends_total", "Parts given to a further leaf, by route");
     describe_counter!("jacinthfall_missing_parts_total", "Shards left out of answers, by route");
     describe_counter!("jacinthfall_sends_total", "Sends to leafs by outcome");
@@ -57,6 +74,14 @@
     describe_counter!("jacinthfall_exchanges_total", "Exchanges with other nodes by outcome");
     describe_gauge!("jacinthfall_configuration_version", "Version of the configuration in force");
     describe_gauge!("jacinthfall_leafs_usable", "Leafs that may be given requests");
+    describe_gauge!(
+        "jacinthfall_knowledge_age_seconds",
+        "Time since the store, or a node that it answers, confirmed what this node knows"
+    );
+    describe_gauge!(
+        "jacinthfall_extra_sends_left",
+        "Further sends to a service that the bound still allows this node"
+    );
     describe_gauge!("jacinthfall_nodes", "Nodes that share the bound on extra sends");
     describe_gauge!("jacinthfall_requests_in_hand", "Requests without an answer yet");
     describe_gauge!("jacinthfall_store_answers", "Whether the store answered the last call");
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -231,6 +231,9 @@
                     hub.news.notify_one();
                 }
             }
+            if beat.store_answers && beat.upto <= tables.upto {
+                tables.confirmed = now;
+            }
             let follows = tables.roster.is_follower_of_store(now, &hub.own);
             (beat.upto > tables.upto, follows)
         };
@@ -278,20 +281,20 @@
         hub.configure(revision, &document.into(), "peer");
     }
     let now = hub.now();
-    let mut changed = false;
-    {
+    let (changed, first) = {
         let mut tables = hub.tables();
-        changed |= tables.catalog.merge(now, knowledge.leafs, knowledge.upto);
-        changed |= tables.upto == 0 && knowledge.upto > 0;
+        let changed = tables.catalog.merge(now, knowledge.leafs, knowledge.upto);
+        let first = tables.upto == 0 && knowledge.upto > 0;
         tables.upto = tables.upto.max(knowledge.upto);
         for node in knowledge.nodes.into_iter().filter(|node| node.name != hub.own.name) {
             if !tables.roster.members().any(|member| member.node.name == node.name) {
                 tables.roster.heard_of(now, node);
             }
         }
-    }
-    if changed {
+        (changed, first)
+    };
+    if first || !changed.is_empty() {
         log::info!("event=leafs_from_peer peer={peer} upto={}", knowledge.upto);
-        hub.leafs_changed();
+        hub.leafs_changed(&changed, "peer");
     }
 }
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -9,7 +9,7 @@
 use jacinthfall_core::id;
 use jacinthfall_dispatch::catalog::Record;
 use jacinthfall_dispatch::roster::Node;
-use metrics::counter;
+use metrics::{counter, histogram};
 
 use super::hub::Hub;
 use crate::registration::{self, Backoff, Entry};
@@ -47,6 +47,20 @@
     tokio::spawn(registration::keep(client, entry, move |result| note(&noting, "lease", result)));
 }
 
+/// Makes a call to the store, measures it and notes how it ended.
+async fn measure<T>(
+    hub: &Hub,
+    kind: &'static str,
+    call: impl Future<Output = Result<T, Error>>,
+) -> Result<T, Error> {
+    let started = hub.now();
+    let result = call.await;
+    let took = hub.now().since(started);
+    histogram!("jacinthfall_store_call_seconds", "call" => kind).record(took);
+    note(hub, kind, &result);
+    result
+}
+
 /// Notes how a call to the store ended.
 fn note<T>(hub: &Hub, call: &'static str, result: &Result<T, Error>) {
     let outcome = match result {
@@ -62,7 +76,9 @@
         return;
     }
     if answers {
-        log::info!("event=store_regained call={call}");
+        let first = !hub.store_seen.swap(true, Ordering::Relaxed);
+        let event = if first { "store_reached" } else { "store_regained" };
+        log::info!("event={event} call={call}");
         let now = hub.now();
         hub.tables().catalog.store_regained(now);
         hub.store_turned.notify_waiters();
@@ -112,11 +128,10 @@
     let upto = hub.tables().upto;
     let turned = hub.store_turned.notified();
     let result = tokio::select! {
-        result = client.watch(EVERYTHING, upto, WATCH_WAIT) => result,
+        result = measure(hub, "watch", client.watch(EVERYTHING, upto, WATCH_WAIT)) => result,
         // What was asked of a store that fell silent may stay without a response.
         () = turned => return Err(Error::Unknown("the store was lost or regained".to_owned())),
     };
-    note(hub, "watch", &result);
     match result {
         Ok(changes) => {
             let is_change = !changes.events.is_empty();
@@ -136,45 +151,38 @@
 
 /// Reads everything.
 async fn list(hub: &Arc<Hub>, client: &Client) -> Result<(), Error> {
-    let result = client.list(configuration::PREFIX).await;
-    note(hub, "list", &result);
-    let operator = result?;
+    let operator = measure(hub, "list", client.list(configuration::PREFIX)).await?;
     for item in &operator.items {
         apply_configuration(hub, item);
     }
-    let result = client.list(registry::PREFIX).await;
-    note(hub, "list", &result);
-    let leafs = result?;
-    let result = client.list(NODES).await;
-    note(hub, "list", &result);
-    let nodes = result?;
+    let leafs = measure(hub, "list", client.list(registry::PREFIX)).await?;
+    let nodes = measure(hub, "list", client.list(NODES)).await?;
     for item in &nodes.items {
         apply_node(hub, item);
     }
     let listed = leafs.items.iter().filter_map(leaf).collect();
     let now = hub.now();
-    {
+    let changed = {
         let mut tables = hub.tables();
-        tables.catalog.list(now, listed, leafs.revision);
         // What was read first may have changed while the rest was read.
         tables.upto = tables.upto.max(operator.revision);
-    }
-    hub.leafs_changed();
+        tables.confirmed = now;
+        tables.catalog.list(now, listed, leafs.revision)
+    };
+    hub.leafs_changed(&changed, "store");
     Ok(())
 }
 
 fn apply(hub: &Arc<Hub>, changes: Changes) {
-    let mut leafs_changed = false;
+    let mut changed = Vec::new();
     let now = hub.now();
     for item in &changes.events {
         if &*item.key == configuration::KEY {
             apply_configuration(hub, item);
         } else if let Some((id, record)) = leaf(item) {
-            let changed = hub.tables().catalog.apply(now, &id, record);
-            if changed {
-                log::info!("event=leaf id={id} revision={}", item.revision);
+            if hub.tables().catalog.apply(now, &id, record) {
+                changed.push(id);
             }
-            leafs_changed |= changed;
         } else if item.key.starts_with(NODES) {
             apply_node(hub, item);
         }
@@ -182,9 +190,10 @@
     {
         let mut tables = hub.tables();
         tables.upto = tables.upto.max(changes.revision);
+        tables.confirmed = now;
     }
-    if leafs_changed {
-        hub.leafs_changed();
+    if !changed.is_empty() {
+        hub.leafs_changed(&changed, "store");
     }
     hub.news.notify_one();
 }
--- a/src/util/output.rs
+++ b/src/util/output.rs
@@ -108,44 +108,51 @@
     }
 }
 
-/// Bounds the lines of one kind in each second; lines that matter more have room of
-/// their own.
-#[derive(Debug, Default)]
+/// Bounds the lines of one kind in each second.
+#[derive(Debug)]
 pub struct Sampler {
+    /// Lines in a second.
+    limit: u32,
     second: u64,
-    ordinary: u32,
-    urgent: u32,
+    written: u32,
     passed_over: u64,
 }
 
-/// Lines of one kind in a second: ordinary ones, and as many urgent ones.
-const LINES_PER_SECOND: u32 = 20;
-
 impl Sampler {
+    /// Opens a sampler for a number of lines in each second.
+    #[must_use]
+    pub fn open(limit: u32) -> Sampler {
+        Sampler { limit, second: 0, written: 0, passed_over: 0 }
+    }
+
     /// Whether a line may be written at a time. Returns how many were passed over
     /// since the last one that was.
     ///
     /// ```
     /// use jacinthfall_core::time::Time;
     /// use jacinthfall::util::output::Sampler;
-    /// let mut sampler = Sampler::default();
-    /// let written = (0..100).filter(|_| sampler.admit(Time(0), false).is_some()).count();
+    /// let mut sampler = Sampler::open(20);
+    /// let written = (0..100).filter(|_| sampler.admit(Time(0)).is_some()).count();
     /// assert_eq!(written, 20);
-    /// assert_eq!(sampler.admit(Time(0), true), Some(80));
+    /// assert_eq!(sampler.admit(Time(1_000_000)), Some(80));
     /// ```
-    pub fn admit(&mut self, now: Time, urgent: bool) -> Option<u64> {
+    pub fn admit(&mut self, now: Time) -> Option<u64> {
         let second = now.0 / 1_000_000;
         if self.second != second {
-            (self.second, self.ordinary, self.urgent) = (second, 0, 0);
+            (self.second, self.written) = (second, 0);
         }
-        let count = if urgent { &mut self.urgent } else { &mut self.ordinary };
-        if *count >= LINES_PER_SECOND {
+        if self.written >= self.limit {
             self.passed_over += 1;
             return None;
         }
-        *count += 1;
+        self.written += 1;
         Some(std::mem::take(&mut self.passed_over))
     }
+
+    /// Counts further lines that were written with an admitted one.
+    pub fn charge(&mut self, lines: u32) {
+        self.written = self.written.saturating_add(lines);
+    }
 }
 
 /// Sends the program's log to standard output, one line of `key=value` fields each.
