Explain a request from its id: explain, trace at a gateway, top, report, completion

Logs of any number of nodes, or a node itself, give the story of a request: decisions, what each rested on and how old that was, what stood against a further send, the configuration in force, the store, the leafs concerned, a cause with its remedy. Metrics of several nodes become rates; logs become a page of plots.

Found with it: an answer line of a single leaf counted its part as not done, since the response had been handed on; parts now count by when they were answered.

--- a/crates/dispatch/src/flight.rs
+++ b/crates/dispatch/src/flight.rs
@@ -197,7 +197,7 @@
     #[must_use]
     pub fn tally(&self) -> Tally {
         Tally {
-            done: self.done(),
+            done: self.parts.iter().filter(|part| part.answered().is_some()).count(),
             dead: self.parts.iter().filter(|part| part.is_dead()).count(),
             extra: self.parts.iter().map(|part| part.sends.len().saturating_sub(1)).sum(),
         }
@@ -205,7 +205,7 @@
 
     /// Parts without an answer: service and the leafs that were given the part.
     pub fn missing(&self) -> impl Iterator<Item = (&id::Name, Vec<Key>)> {
-        let missing = self.parts.iter().filter(|part| part.reply.is_none());
+        let missing = self.parts.iter().filter(|part| part.answered().is_none());
         missing.map(|part| (&part.service, part.sends.iter().map(|send| send.leaf).collect()))
     }
 
--- a/crates/dispatch/src/flight/trail.rs
+++ b/crates/dispatch/src/flight/trail.rs
@@ -1,5 +1,7 @@
 //! What was decided on a request, for its log lines.
 
+use std::time::Duration;
+
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
 
@@ -51,7 +53,7 @@
         let slowest = self.parts.iter().filter_map(Part::answered).max();
         let notable = self.parts.iter().filter(|part| {
             let repeated = part.sends.len() > 1 || part.held.is_some();
-            part.reply.is_none() || repeated || part.answered() == slowest
+            part.answered().is_none() || repeated || part.answered() == slowest
         });
         let mut steps: Vec<Step> = notable.flat_map(steps).collect();
         steps.sort_by_key(|step| step.at);
@@ -60,8 +62,8 @@
 
     /// How long the request waited until enough of its parts had a leaf.
     #[must_use]
-    pub fn waited(&self) -> std::time::Duration {
-        self.admitted.map_or(std::time::Duration::ZERO, |at| at.since(self.opened))
+    pub fn waited(&self) -> Duration {
+        self.admitted.map_or(Duration::ZERO, |at| at.since(self.opened))
     }
 }
 
--- a/crates/dispatch/tests/suite/main.rs
+++ b/crates/dispatch/tests/suite/main.rs
@@ -9,3 +9,4 @@
 mod patience;
 mod roster;
 mod support;
+mod trail;
--- a/crates/dispatch/tests/suite/roster.rs
+++ b/crates/dispatch/tests/suite/roster.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use jacinthfall_core::time::Time;
-use jacinthfall_dispatch::roster::{FORGET, Heartbeat, Node, Phase, Roster, SUSPECT};
+use jacinthfall_dispatch::roster::{Change, FORGET, Heartbeat, Node, Phase, Roster, SUSPECT};
 
 fn node(name: &str, started: u64) -> Node {
     Node {
@@ -57,7 +57,7 @@
     roster.heartbeat(Time(0), &beat("a", Phase::Serving));
     roster.registered(Time(0), node("b", 1));
 
-    roster.expire(Time(0) + FORGET, "z1");
+    roster.expire(Time(0) + FORGET, "z");
 
     let names: Vec<_> = roster.members().map(|member| member.node.name.to_string()).collect();
     assert_eq!(names, ["b"]);
@@ -80,7 +80,7 @@
     let mut roster = Roster::default();
     roster.heartbeat(Time(0), &beat("a", Phase::Serving));
     assert_eq!(roster.active(Time(0), hold), 2);
-    roster.expire(Time(0) + FORGET, "z1");
+    roster.expire(Time(0) + FORGET, "z");
 
     assert_eq!(roster.active(Time(0) + hold, hold), 2);
     assert_eq!(roster.active(Time(1) + hold, hold), 1);
@@ -171,3 +171,18 @@
 
     assert_eq!(targets, 34);
 }
+
+#[test]
+fn the_silence_of_a_node_is_told_once_and_its_return_is_news() {
+    let mut roster = Roster::default();
+    let beat = beat("n-2", Phase::Serving);
+    roster.heartbeat(Time(0), &beat);
+
+    let silent = roster.expire(Time(0) + SUSPECT, "z");
+    let again = roster.expire(Time(1) + SUSPECT, "z");
+    let news = roster.heartbeat(Time(2) + SUSPECT, &beat);
+
+    assert_eq!(silent, [("n-2".into(), Change::Silent)]);
+    assert!(again.is_empty());
+    assert!(news);
+}
--- /dev/null
+++ b/src/bin/jacinthfall/completion.rs
@@ -0,0 +1,79 @@
+//! `jacinthfall completion`.
+
+use jacinthfall::ops::Outcome;
+
+use crate::options::{self, Command, Failure};
+
+const BRIEF: &str = "\
+Prints a script that completes commands in a shell: bash, zsh or fish.
+
+Examples:
+    jacinthfall completion bash > ~/.local/share/bash-completion/completions/jacinthfall
+    jacinthfall completion fish > ~/.config/fish/completions/jacinthfall.fish";
+
+/// Commands, with the words that may follow.
+const COMMANDS: [(&str, &str); 10] = [
+    ("query", ""),
+    ("trace", ""),
+    ("explain", ""),
+    ("top", ""),
+    ("report", ""),
+    ("addresses", ""),
+    ("status", ""),
+    ("timeline", ""),
+    ("profile", "list show put history"),
+    ("completion", "bash zsh fish"),
+];
+
+/// Runs the command.
+pub fn run(arguments: &[String]) -> Result<Outcome, Failure> {
+    let command = Command::new("completion SHELL", BRIEF);
+    let Some(arguments) = command.parse(arguments)? else { return Ok(Outcome::Done) };
+    let script = match arguments.operand()? {
+        "bash" => bash(),
+        "zsh" => {
+            format!("#compdef jacinthfall\nautoload -U bashcompinit\nbashcompinit\n{}", bash())
+        }
+        "fish" => fish(),
+        other => {
+            let text = format!("`{other}` is no shell that is known; use bash, zsh or fish");
+            return Err(Failure::usage(text));
+        }
+    };
+    options::write(&script);
+    Ok(Outcome::Done)
+}
+
+fn names() -> String {
+    COMMANDS.map(|(name, _)| name).join(" ")
+}
+
+fn bash() -> String {
+    let cases: String = COMMANDS
+        .iter()
+        .filter(|(_, words)| !words.is_empty())
+        .map(|(name, words)| {
+            format!("    {name}) COMPREPLY=($(compgen -W \"{words}\" -- \"$word\")) ;;\n")
+        })
+        .collect();
+    format!(
+        "_jacinthfall() {{\n  local word=\"${{COMP_WORDS[COMP_CWORD]}}\"\n  \
+         if [ \"$COMP_CWORD\" -eq 1 ]; then\n    \
+         COMPREPLY=($(compgen -W \"{}\" -- \"$word\"))\n    return\n  fi\n  \
+         case \"${{COMP_WORDS[1]}}\" in\n{cases}    \
+         *) COMPREPLY=($(compgen -f -- \"$word\")) ;;\n  esac\n}}\n\
+         complete -F _jacinthfall jacinthfall\n",
+        names()
+    )
+}
+
+fn fish() -> String {
+    let mut script =
+        format!("complete -c jacinthfall -n __fish_use_subcommand -f -a \"{}\"\n", names());
+    for (name, words) in COMMANDS.iter().filter(|(_, words)| !words.is_empty()) {
+        script.push_str(&format!(
+            "complete -c jacinthfall -n \"__fish_seen_subcommand_from {name}\" -f -a \"{words}\"\n"
+        ));
+    }
+    script
+}
--- a/src/bin/jacinthfall/main.rs
+++ b/src/bin/jacinthfall/main.rs
@@ -11,11 +11,15 @@
 use crate::options::Failure;
 
 mod addresses;
+mod completion;
+mod explain;
 mod options;
 mod profile;
 mod query;
+mod report;
 mod status;
 mod timeline;
+mod top;
 mod trace;
 
 const HELP: &str = "\
@@ -26,6 +30,10 @@
 Commands:
     query              ask a query as a caller does
     trace ID           tell what became of a request
+    explain ID [FILE...]
+                       tell from logs why a request ended as it did
+    top IP:PORT...     show what gateway nodes do at the moment
+    report [FILE...]   draw a page from the logs of gateway nodes
     addresses          list the addresses that callers should use
     status             show the state of a node
     timeline           show events of all nodes in causal order
@@ -34,6 +42,7 @@
     profile put FILE   change a profile
     profile history NAME
                        list the changes of a profile
+    completion SHELL   print a script that completes commands
 
 Run `jacinthfall COMMAND --help` for the options of a command.
 
@@ -65,6 +74,10 @@
             Ok(Outcome::Done)
         }
         "query" => query::run(rest),
+        "explain" => explain::run(rest),
+        "top" => top::run(rest),
+        "report" => report::run(rest),
+        "completion" => completion::run(rest),
         "trace" => trace::run(rest),
         "addresses" => addresses::run(rest),
         "status" => status::run(rest),
--- a/src/bin/jacinthfall/options.rs
+++ b/src/bin/jacinthfall/options.rs
@@ -58,6 +58,7 @@
     pub fn new(usage: &'static str, brief: &'static str) -> Command {
         let mut options = Options::new();
         options.optflag("j", "json", "print JSON for machines, as in docs/API.md");
+        options.optopt("", "output", "text or json", "FORMAT");
         options.optopt("", "timeout-ms", "longest wait for any step of a call (70000)", "N");
         options.optflag("h", "help", "print this help");
         Command { usage, brief, options }
@@ -103,6 +104,12 @@
             let text = format!("{error}; run `jacinthfall {} --help`", command_of(usage));
             Failure::usage(text)
         })?;
+        if let Some(format) = matches.opt_str("output")
+            && !matches!(format.as_str(), "text" | "json")
+        {
+            let text = format!("--output: `{format}` is no format; use text or json");
+            return Err(Failure::usage(text));
+        }
         Ok(Some(Arguments { usage, matches }))
     }
 }
@@ -116,6 +123,19 @@
         }
     }
 
+    /// The first operand, and those after it.
+    pub fn operands(&self) -> Result<(&str, &[String]), Failure> {
+        match self.matches.free.as_slice() {
+            [first, rest @ ..] => Ok((first, rest)),
+            [] => Err(Failure::usage(format!("usage: jacinthfall {}", self.usage))),
+        }
+    }
+
+    /// All operands.
+    pub fn all_operands(&self) -> &[String] {
+        &self.matches.free
+    }
+
     /// Checks that there is no operand.
     pub fn no_operand(&self) -> Result<(), Failure> {
         match self.matches.free.first() {
@@ -159,26 +179,25 @@
 
     /// The node to call. Options that the command doesn't have are not looked at.
     pub fn node(&self) -> Result<Node, Failure> {
-        let timeout = self.number("timeout-ms")?.unwrap_or(DEFAULT_TIMEOUT_MS);
         Ok(Node {
             callers: self.address("callers", "JACINTHFALL_CALLERS")?,
             operators: self.address("operators", "JACINTHFALL_OPERATORS")?,
             token: self.token()?,
-            timeout: Some(Duration::from_millis(timeout.max(1))),
+            timeout: Some(self.timeout()?),
         })
     }
 
+    /// Longest wait for any step of a call.
+    pub fn timeout(&self) -> Result<Duration, Failure> {
+        let timeout = self.number("timeout-ms")?.unwrap_or(DEFAULT_TIMEOUT_MS);
+        Ok(Duration::from_millis(timeout.max(1)))
+    }
+
     fn address(&self, option: &str, variable: &str) -> Result<Option<SocketAddr>, Failure> {
         let given = self.defined(option).map(|text| (format!("--{option}"), text));
         let given = given.or_else(|| Some((variable.to_owned(), env::var(variable).ok()?)));
         let Some((source, text)) = given else { return Ok(None) };
-        match text.parse() {
-            Ok(address) => Ok(Some(address)),
-            Err(_) => {
-                let text = format!("{source}: `{text}` is no address; write IP:PORT");
-                Err(Failure::usage(text))
-            }
-        }
+        address(&source, &text).map(Some)
     }
 
     fn token(&self) -> Result<Option<String>, Failure> {
@@ -196,7 +215,7 @@
 
     /// Prints a reply: as JSON if asked for, else in words.
     pub fn print(&self, reply: &impl Serialize, words: impl FnOnce() -> String) {
-        if self.has("json") {
+        if self.has("json") || self.text("output").as_deref() == Some("json") {
             print_json(reply);
             return;
         }
@@ -216,6 +235,12 @@
     u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Checks an address.
+pub fn address(source: &str, text: &str) -> Result<SocketAddr, Failure> {
+    text.parse()
+        .map_err(|_| Failure::usage(format!("{source}: `{text}` is no address; write IP:PORT")))
+}
+
 /// Checks a name or request id.
 pub fn name(what: &str, text: &str) -> Result<id::Name, Failure> {
     id::name(text).map_err(|error| Failure::usage(describe(what, &error)))
@@ -225,8 +250,8 @@
     format!("{what}: {error}")
 }
 
-/// A reader that closes the pipe early is no failure of the command.
-fn write(text: &str) {
+/// Prints text. A reader that closes the pipe early is no failure of the command.
+pub fn write(text: &str) {
     let _ = io::stdout().write_all(text.as_bytes());
 }
 
--- a/src/bin/jacinthfall/trace.rs
+++ b/src/bin/jacinthfall/trace.rs
@@ -1,9 +1,10 @@
 //! `jacinthfall trace`.
 
 use jacinthfall::api::{Fates, Timeline};
-use jacinthfall::ops::{Outcome, trace};
+use jacinthfall::ops::{Outcome, gateway, trace};
 use serde::Serialize;
 
+use crate::explain;
 use crate::options::{self, Command, Failure};
 
 const BRIEF: &str = "\
@@ -24,9 +25,18 @@
 
 /// Runs the command.
 pub fn run(arguments: &[String]) -> Result<Outcome, Failure> {
-    let command = Command::new("trace ID", BRIEF).callers().operators();
+    let command = Command::new("trace ID", BRIEF).callers().operators().option(
+        "gateway",
+        "address for metrics of a gateway node, which tells what it keeps of the request",
+        "IP:PORT",
+    );
     let Some(arguments) = command.parse(arguments)? else { return Ok(Outcome::Done) };
     let request = options::name("ID", arguments.operand()?)?;
+    if let Some(text) = arguments.text("gateway") {
+        let address = options::address("--gateway", &text)?;
+        let logs = gateway::trace(address, arguments.timeout()?, &request)?;
+        return Ok(explain::tell(&arguments, &request, &logs));
+    }
     let node = arguments.node()?;
     let fates = trace::find(&node, &request)?;
     let events = if node.operators.is_some() && node.token.is_some() {
--- a/src/gateway/audit.rs
+++ b/src/gateway/audit.rs
@@ -26,7 +26,7 @@
 /// Lines in a second about requests that failed or were refused.
 const FAILED_LINES: u32 = 100;
 
-/// Lines in a second about answers that came late or lack shards.
+/// Lines in a second about answers that came late, lack shards or took extra sends.
 const DEGRADED_LINES: u32 = 60;
 
 /// Lines in a second about whole answers in time.
@@ -70,6 +70,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum Grade {
     Whole,
+    /// Whole and in time, with sends beyond the first of each part.
+    Repeated,
     Late,
     Partial,
     Refused,
@@ -78,14 +80,15 @@
 }
 
 impl Grade {
-    fn of(answer: Option<&Answer>, took: Duration, objective: Duration) -> Grade {
+    fn of(request: &Request<'_>, took: Duration, answer: Option<&Answer>) -> Grade {
         match answer {
             None => Grade::Abandoned,
             Some(Answer::Refused { .. }) => Grade::Refused,
             Some(Answer::Failed(_)) => Grade::Failed,
             Some(Answer::Forward(reply)) if !reply.status.is_success() => Grade::Failed,
             Some(Answer::Merged { missing: 1.., .. }) => Grade::Partial,
-            Some(_) if took > objective => Grade::Late,
+            Some(_) if took > request.route.objective => Grade::Late,
+            Some(_) if request.flight.tally().extra > 0 => Grade::Repeated,
             Some(_) => Grade::Whole,
         }
     }
@@ -164,18 +167,13 @@
     pub fn answered(&self, hub: &Hub, request: &Request<'_>, answer: Option<&Answer>) {
         let now = hub.now();
         let took = now.since(request.arrived);
-        let grade = Grade::of(answer, took, request.route.objective);
+        let grade = Grade::of(request, took, answer);
         let outcome = Outcome::of(answer);
         measure(request, outcome.name, took);
         let passed_over = {
             let mut book = lock(&self.0);
             book.count(request, grade, took, answer);
-            let sampler = match grade {
-                Grade::Refused | Grade::Failed => &mut book.failed,
-                Grade::Late | Grade::Partial | Grade::Abandoned => &mut book.degraded,
-                Grade::Whole => &mut book.whole,
-            };
-            sampler.admit(now)
+            book.sampler(grade).admit(now)
         };
         let Some(passed_over) = passed_over else { return };
         let lines = lines(hub, request, outcome, now, passed_over);
@@ -184,12 +182,7 @@
         }
         let mut book = lock(&self.0);
         let count = u32::try_from(lines.len()).unwrap_or(u32::MAX);
-        let sampler = match grade {
-            Grade::Refused | Grade::Failed => &mut book.failed,
-            Grade::Late | Grade::Partial | Grade::Abandoned => &mut book.degraded,
-            Grade::Whole => &mut book.whole,
-        };
-        sampler.charge(count.saturating_sub(1));
+        book.sampler(grade).charge(count.saturating_sub(1));
         book.kept.push(text(request.id), lines.join("\n"));
     }
 
@@ -265,12 +258,16 @@
 
     /// Writes a line about each route's traffic once it is due.
     pub fn summarize(&self, hub: &Hub) {
+        if hub.now().since(lock(&self.0).traffic_since) >= TRAFFIC_INTERVAL {
+            self.flush(hub);
+        }
+    }
+
+    /// Writes a line about each route's traffic since the last one.
+    pub fn flush(&self, hub: &Hub) {
         let now = hub.now();
         let mut book = lock(&self.0);
         let window = now.since(book.traffic_since);
-        if window < TRAFFIC_INTERVAL {
-            return;
-        }
         book.traffic_since = now;
         let traffic = std::mem::take(&mut book.traffic);
         drop(book);
@@ -279,7 +276,7 @@
                 "event=traffic route={route} window_ms={} whole={} late={} partial={} refused={} \
                  failed={} abandoned={} p50_ms={} p99_ms={} max_ms={} extra={} missing={}",
                 window.as_millis(),
-                traffic.count(Grade::Whole),
+                traffic.count(Grade::Whole) + traffic.count(Grade::Repeated),
                 traffic.count(Grade::Late),
                 traffic.count(Grade::Partial),
                 traffic.count(Grade::Refused),
@@ -296,6 +293,15 @@
 }
 
 impl Book {
+    /// What bounds the lines about requests that were served like this.
+    fn sampler(&mut self, grade: Grade) -> &mut Sampler {
+        match grade {
+            Grade::Refused | Grade::Failed => &mut self.failed,
+            Grade::Repeated | Grade::Late | Grade::Partial | Grade::Abandoned => &mut self.degraded,
+            Grade::Whole => &mut self.whole,
+        }
+    }
+
     fn count(
         &mut self,
         request: &Request<'_>,
@@ -310,7 +316,7 @@
         let traffic = self.traffic.get_mut(name).expect("inserted above");
         *traffic.grades.entry(grade).or_default() += 1;
         traffic.extra += request.flight.tally().extra as u64;
-        if matches!(grade, Grade::Whole | Grade::Late | Grade::Partial) {
+        if matches!(grade, Grade::Whole | Grade::Repeated | Grade::Late | Grade::Partial) {
             let millis = u64::try_from(took.as_millis()).unwrap_or(MAX_MILLIS);
             traffic.took.saturating_record(millis);
         }
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -73,5 +73,6 @@
         tokio::time::sleep(LOOK).await;
     }
     tokio::time::sleep(FLUSH).await;
+    hub.audit.flush(hub);
     log::info!("event=stopped in_hand={}", hub.in_hand.load(Ordering::Relaxed));
 }
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -13,13 +13,18 @@
 use thiserror::Error;
 
 pub mod addresses;
+pub mod explain;
+pub mod gateway;
+pub mod metrics;
 pub mod node;
 pub mod profile;
 pub mod query;
+pub mod report;
 pub mod status;
 pub mod story;
 pub mod text;
 pub mod timeline;
+pub mod top;
 pub mod trace;
 
 pub use node::Node;
--- /dev/null
+++ b/src/ops/report.rs
@@ -0,0 +1,233 @@
+//! A page of plots from the logs of gateway nodes.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use plotters::prelude::*;
+
+use super::explain::{Line, Logs};
+
+/// Size of a plot, in pixels.
+const SIZE: (u32, u32) = (1_000, 320);
+
+/// Length of the steps of time, in milliseconds; nodes write traffic lines this often.
+const STEP_MS: i64 = 5_000;
+
+/// Events of which the page marks the time.
+const MARKED: [&str; 5] = ["configuration", "node", "store_lost", "store_regained", "stop"];
+
+/// A named line in a plot: seconds since the start and values.
+type Series = (String, Vec<(f64, f64)>);
+
+/// A plot of several series.
+struct Plot {
+    title: &'static str,
+    unit: &'static str,
+    series: Vec<Series>,
+}
+
+/// Why no page can be drawn.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// There is nothing to draw.
+    #[error("the logs have no `event=traffic` line with a time; name logs of gateway nodes")]
+    Empty,
+    /// The plotting library failed.
+    #[error("a plot can't be drawn: {0}; report this with the logs")]
+    Plot(String),
+}
+
+/// Draws the page, as HTML with SVG plots.
+///
+/// # Errors
+///
+/// Any [`Error`].
+pub fn page(logs: &Logs) -> Result<String, Error> {
+    let traffic: Vec<&Line> = lines(logs).filter(|line| line.event == "traffic").collect();
+    let times = traffic.iter().filter_map(|line| line.millis_of_day());
+    let (Some(first), Some(last)) = (times.clone().min(), times.max()) else {
+        return Err(Error::Empty);
+    };
+    let span = Span { first: first - STEP_MS, last };
+    let mut page = String::from(
+        "<!doctype html>\n<meta charset=\"utf-8\"><title>jacinthfall report</title>\n\
+         <style>body{font-family:sans-serif;max-width:1040px;margin:auto}</style>\n",
+    );
+    let _ = writeln!(page, "<h1>Gateway nodes: {}</h1>", logs.nodes().count());
+    let marks = marks(logs, span);
+    for plot in plots(&traffic, span) {
+        page.push_str(&draw(&plot, &marks, span).map_err(|error| Error::Plot(error.to_string()))?);
+    }
+    page.push_str(&table(logs));
+    Ok(page)
+}
+
+/// The time that the page covers, in milliseconds of the day.
+#[derive(Clone, Copy)]
+struct Span {
+    first: i64,
+    last: i64,
+}
+
+impl Span {
+    /// Seconds since the start; `None` outside.
+    fn seconds(self, line: &Line) -> Option<f64> {
+        let at = line.millis_of_day().filter(|at| (self.first..=self.last).contains(at))?;
+        Some((at - self.first) as f64 / 1_000.0)
+    }
+
+    fn length(self) -> f64 {
+        (self.last - self.first) as f64 / 1_000.0
+    }
+}
+
+fn lines(logs: &Logs) -> impl Iterator<Item = &Line> {
+    logs.nodes().flat_map(|(_, lines)| lines)
+}
+
+fn plots(traffic: &[&Line], span: Span) -> Vec<Plot> {
+    let per_second = |field| series(traffic, span, field, |sum| sum * 1_000.0 / STEP_MS as f64);
+    let served =
+        ["whole", "late", "partial"].map(|field| (field.to_owned(), total(traffic, span, field)));
+    let lost = ["refused", "failed", "abandoned"];
+    let lost = lost.map(|field| (field.to_owned(), total(traffic, span, field)));
+    vec![
+        Plot {
+            title: "Slowest p99 of any node, by route",
+            unit: "ms",
+            series: greatest(traffic, span, "p99_ms"),
+        },
+        Plot { title: "Answers", unit: "1/s", series: served.to_vec() },
+        Plot { title: "Not answered, by cause", unit: "1/s", series: lost.to_vec() },
+        Plot { title: "Shards missing, by route", unit: "1/s", series: per_second("missing") },
+        Plot {
+            title: "Sends beyond the first, by route",
+            unit: "1/s",
+            series: per_second("extra"),
+        },
+    ]
+}
+
+/// Sums of a field in each step of time, by route.
+fn steps<'a>(
+    traffic: &[&'a Line],
+    span: Span,
+    field: &str,
+    join: impl Fn(f64, f64) -> f64,
+) -> BTreeMap<&'a str, BTreeMap<i64, f64>> {
+    let mut routes: BTreeMap<&str, BTreeMap<i64, f64>> = BTreeMap::new();
+    for line in traffic {
+        let Some(seconds) = span.seconds(line) else { continue };
+        let step = (seconds * 1_000.0) as i64 / STEP_MS;
+        let value = routes.entry(line.text("route")).or_default().entry(step).or_default();
+        *value = join(*value, line.number(field) as f64);
+    }
+    routes
+}
+
+fn points(steps: BTreeMap<i64, f64>, scale: impl Fn(f64) -> f64) -> Vec<(f64, f64)> {
+    let second = |step| (step * STEP_MS) as f64 / 1_000.0;
+    steps.into_iter().map(|(step, value)| (second(step), scale(value))).collect()
+}
+
+fn series(traffic: &[&Line], span: Span, field: &str, scale: impl Fn(f64) -> f64) -> Vec<Series> {
+    let routes = steps(traffic, span, field, |a, b| a + b);
+    routes.into_iter().map(|(route, steps)| (route.to_owned(), points(steps, &scale))).collect()
+}
+
+fn greatest(traffic: &[&Line], span: Span, field: &str) -> Vec<Series> {
+    let routes = steps(traffic, span, field, f64::max);
+    routes.into_iter().map(|(route, steps)| (route.to_owned(), points(steps, |v| v))).collect()
+}
+
+/// A field over all routes, in a second.
+fn total(traffic: &[&Line], span: Span, field: &str) -> Vec<(f64, f64)> {
+    let mut sums: BTreeMap<i64, f64> = BTreeMap::new();
+    for steps in steps(traffic, span, field, |a, b| a + b).into_values() {
+        for (step, value) in steps {
+            *sums.entry(step).or_default() += value;
+        }
+    }
+    points(sums, |sum| sum * 1_000.0 / STEP_MS as f64)
+}
+
+/// When something changed, in seconds since the start.
+fn marks(logs: &Logs, span: Span) -> Vec<(f64, &str)> {
+    let marked = lines(logs).filter(|line| MARKED.contains(&line.event.as_str()));
+    marked.filter_map(|line| Some((span.seconds(line)?, line.event.as_str()))).collect()
+}
+
+const fn color(event: &str) -> RGBColor {
+    match event.as_bytes() {
+        b"configuration" => BLUE,
+        b"node" => MAGENTA,
+        b"stop" => BLACK,
+        b"store_lost" => RED,
+        _ => GREEN,
+    }
+}
+
+fn draw(
+    plot: &Plot,
+    marks: &[(f64, &str)],
+    span: Span,
+) -> Result<String, Box<dyn std::error::Error>> {
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        area.fill(&WHITE)?;
+        let values = plot.series.iter().flat_map(|(_, points)| points).map(|point| point.1);
+        let top = values.fold(1.0, f64::max) * 1.05;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(plot.title, ("sans-serif", 16))
+            .margin(8)
+            .x_label_area_size(32)
+            .y_label_area_size(56)
+            .build_cartesian_2d(0.0..span.length().max(1.0), 0.0..top)?;
+        chart.configure_mesh().x_desc("seconds").y_desc(plot.unit).draw()?;
+        // Marks stand at the upper edge, one colour for each event.
+        for (at, event) in marks {
+            let path = [(*at, top * 0.96), (*at, top)];
+            chart.draw_series([PathElement::new(path, color(event))])?;
+        }
+        for (index, (name, points)) in plot.series.iter().enumerate() {
+            let color = Palette99::pick(index).to_rgba();
+            chart
+                .draw_series(LineSeries::new(points.iter().copied(), color.stroke_width(2)))?
+                .label(name.as_str())
+                .legend(move |(x, y)| {
+                    PathElement::new(vec![(x, y), (x + 18, y)], color.stroke_width(2))
+                });
+        }
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::UpperRight)
+            .background_style(WHITE.mix(0.8))
+            .draw()?;
+        area.present()?;
+    }
+    Ok(svg)
+}
+
+/// How often each event stands in each log.
+fn table(logs: &Logs) -> String {
+    let mut text = String::from(
+        "<p>Marks at the upper edge: configuration blue, nodes magenta, store lost red, regained \
+         green, stops black.</p>\n<table><tr><th>node<th>event<th>lines\n",
+    );
+    for (node, lines) in logs.nodes() {
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        for line in lines {
+            *counts.entry(line.event.as_str()).or_default() += 1;
+        }
+        for (event, count) in counts {
+            let (node, event) = (escape(node), escape(event));
+            let _ = writeln!(text, "<tr><td>{node}<td>{event}<td>{count}");
+        }
+    }
+    text + "</table>\n"
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;")
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod callers;
 mod changes;
+mod explain;
 mod input;
 mod nodes;
 mod output;
