--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -1,6 +1,6 @@
 //! Nodes as this node sees them, and which of them callers may use.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,8 +19,12 @@
 /// Nodes up to which each one sends its heartbeats to all others.
 const SMALL: usize = 12;
 
-/// Nodes of the own zone that a heartbeat goes to at most, where there are many.
-const NEAR_TARGETS: usize = 32;
+/// Nodes of the own zone that follow by name and that every heartbeat goes to, where
+/// there are many: each node is heard by these without gaps.
+const RING: usize = 28;
+
+/// Other nodes of the own zone that a heartbeat goes to, where there are many.
+const NEAR_TARGETS: usize = 4;
 
 /// Nodes of other zones that a heartbeat goes to, where there are many.
 const FAR_TARGETS: usize = 2;
@@ -104,6 +108,13 @@
     silent: bool,
 }
 
+/// Side of a node in the order of names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Side {
+    Before,
+    After,
+}
+
 /// What became of a node that isn't heard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -188,16 +199,17 @@
     }
 
     /// Forgets nodes that are neither heard nor registered. Returns what became of
-    /// nodes since the last call; nodes of other zones are heard too seldom to tell
-    /// their silence, unless there are few nodes.
-    pub fn expire(&mut self, now: Time, zone: &str) -> Vec<(id::Name, Change)> {
+    /// nodes since the last call; the silence of nodes that don't send every heartbeat
+    /// to this one is not told.
+    pub fn expire(&mut self, now: Time, own: &Node) -> Vec<(id::Name, Change)> {
         let mut changes = Vec::new();
         let small = self.members.len() <= SMALL;
+        let before = if small { HashSet::new() } else { self.ring(own, Side::Before) };
         self.members.retain(|name, member| {
             let known = member.registered || member.heard.is_some_and(|at| now.since(at) < FORGET);
             if !known {
                 changes.push((name.clone(), Change::Forgotten));
-            } else if small || *member.node.zone == *zone {
+            } else if small || before.contains(name) {
                 let silent = !member.is_heard(now);
                 if silent && !std::mem::replace(&mut member.silent, silent) {
                     changes.push((name.clone(), Change::Silent));
@@ -249,18 +261,37 @@
     }
 
     /// Nodes that the next heartbeat goes to: all where they are few, else those of the
-    /// own zone and some others.
+    /// own zone that follow this one by name, and some others.
     pub fn targets(&self, own: &Node, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let peers = |member: &Member| member.node.peers;
+        if self.members.len() <= SMALL {
+            return self.members.values().map(peers).collect();
+        }
+        let ring = self.ring(own, Side::After);
+        let others = self.members.values().filter(|member| !ring.contains(&member.node.name));
         let (near, far): (Vec<&Member>, Vec<&Member>) =
-            self.members.values().partition(|member| member.node.zone == own.zone);
-        let (near_count, far_count) = if self.members.len() <= SMALL {
-            (near.len(), far.len())
-        } else {
-            (NEAR_TARGETS, FAR_TARGETS)
-        };
-        let near = near.into_iter().choose_multiple(rng, near_count);
-        let far = far.into_iter().choose_multiple(rng, far_count);
-        near.into_iter().chain(far).map(|member| member.node.peers).collect()
+            others.partition(|member| member.node.zone == own.zone);
+        let near = near.into_iter().choose_multiple(rng, NEAR_TARGETS);
+        let far = far.into_iter().choose_multiple(rng, FAR_TARGETS);
+        let ring = ring.iter().map(|name| &self.members[name]);
+        ring.chain(near).chain(far).map(peers).collect()
+    }
+
+    /// The nodes of the own zone that come next to this one by name, the last one being
+    /// followed by the first.
+    fn ring(&self, own: &Node, side: Side) -> HashSet<id::Name> {
+        let near = self.members.values().filter(|member| member.node.zone == own.zone);
+        let mut names: Vec<&id::Name> = near.map(|member| &member.node.name).collect();
+        names.sort_unstable();
+        let position = names.partition_point(|name| **name < own.name);
+        match side {
+            Side::After => names.rotate_left(position),
+            Side::Before => {
+                names.rotate_left(position);
+                names.reverse();
+            }
+        }
+        names.into_iter().take(RING).cloned().collect()
     }
 
     /// Addresses for callers in a zone, those of the zone first. Where there are many
--- a/crates/dispatch/tests/suite/roster.rs
+++ b/crates/dispatch/tests/suite/roster.rs
@@ -1,9 +1,13 @@
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::roster::{Change, FORGET, Heartbeat, Node, Phase, Roster, SUSPECT};
 
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
 fn node(name: &str, started: u64) -> Node {
     Node {
         name: name.into(),
@@ -57,7 +61,7 @@
     roster.heartbeat(Time(0), &beat("a", Phase::Serving));
     roster.registered(Time(0), node("b", 1));
 
-    roster.expire(Time(0) + FORGET, "z");
+    roster.expire(Time(0) + FORGET, &node("own", 1));
 
     let names: Vec<_> = roster.members().map(|member| member.node.name.to_string()).collect();
     assert_eq!(names, ["b"]);
@@ -80,7 +84,7 @@
     let mut roster = Roster::default();
     roster.heartbeat(Time(0), &beat("a", Phase::Serving));
     assert_eq!(roster.active(Time(0), hold), 2);
-    roster.expire(Time(0) + FORGET, "z");
+    roster.expire(Time(0) + FORGET, &node("own", 1));
 
     assert_eq!(roster.active(Time(0) + hold, hold), 2);
     assert_eq!(roster.active(Time(1) + hold, hold), 1);
@@ -158,9 +162,8 @@
 
 #[test]
 fn heartbeats_stay_few_where_there_are_many_nodes() {
-    use rand::SeedableRng;
     let own = Node { zone: "z".into(), ..node("z-50", 1) };
-    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(1);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
     let mut roster = Roster::default();
     for number in 0..100 {
         roster.heartbeat(Time(0), &one_of_many(number, "z", false, 0));
@@ -178,11 +181,48 @@
     let beat = beat("n-2", Phase::Serving);
     roster.heartbeat(Time(0), &beat);
 
-    let silent = roster.expire(Time(0) + SUSPECT, "z");
-    let again = roster.expire(Time(1) + SUSPECT, "z");
+    let silent = roster.expire(Time(0) + SUSPECT, &node("own", 1));
+    let again = roster.expire(Time(1) + SUSPECT, &node("own", 1));
     let news = roster.heartbeat(Time(2) + SUSPECT, &beat);
 
     assert_eq!(silent, [("n-2".into(), Change::Silent)]);
     assert!(again.is_empty());
     assert!(news);
 }
+
+#[test]
+fn every_heartbeat_in_a_large_zone_reaches_the_same_nodes() {
+    let mut roster = Roster::default();
+    for number in 0..178_u16 {
+        let mut beat = beat(&format!("n-{number:03}"), Phase::Serving);
+        beat.node.peers.set_port(number + 1);
+        roster.heartbeat(Time(0), &beat);
+    }
+    let own = node("n-170a", 1);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+
+    let rounds: Vec<Vec<u16>> = (0..100)
+        .map(|_| roster.targets(&own, &mut rng).iter().map(SocketAddr::port).collect())
+        .collect();
+
+    let always = |port: &u16| rounds.iter().all(|round| round.contains(port));
+    let constant: Vec<u16> = (1..=178).filter(always).collect();
+    let expected: Vec<u16> = (1..=21).chain(172..=178).collect();
+    assert_eq!(constant, expected, "the next 28 by name, the first after the last");
+    let heard: HashSet<&u16> = rounds.iter().flatten().collect();
+    assert!(heard.len() > 150, "the others hear it now and then");
+}
+
+#[test]
+fn only_nodes_that_are_heard_without_gaps_are_told_silent_in_a_large_zone() {
+    let mut roster = Roster::default();
+    for number in 0..178 {
+        roster.heartbeat(Time(0), &beat(&format!("n-{number:03}"), Phase::Serving));
+    }
+
+    let changes = roster.expire(Time(0) + SUSPECT, &node("n-020a", 1));
+
+    assert_eq!(changes.len(), 28);
+    assert!(changes.iter().any(|(name, _)| &**name == "n-020"));
+    assert!(changes.iter().any(|(name, _)| &**name == "n-177"));
+}
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -370,7 +370,7 @@
         let now = hub.now();
         let (silent, lapsed) = {
             let mut tables = hub.tables();
-            let silent = tables.roster.expire(now, &hub.own.zone);
+            let silent = tables.roster.expire(now, &hub.own);
             tables.parts.tick();
             let active = tables.roster.active(now, SHRINK_AFTER);
             let known = tables.roster.len() + 1;
