--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -304,9 +304,15 @@
         if known.is_some_and(|known| known.snapshot.version > snapshot.version) {
             return;
         }
+        let unrepeatable = snapshot.routes().filter(|route| !route.idempotent);
+        let unrepeatable: Vec<&str> = unrepeatable.map(|route| &*route.name).collect();
         log::info!(
-            "event=configuration version={} revision={revision} source={source}",
-            snapshot.version
+            "event=configuration version={} revision={revision} source={source} routes={} \
+             services={} unrepeatable=[{}]",
+            snapshot.version,
+            snapshot.routes().count(),
+            snapshot.services.len(),
+            unrepeatable.join(" ")
         );
         let snapshot = Arc::new(snapshot);
         tables.configuration =
--- a/src/ops/explain/mod.rs
+++ b/src/ops/explain/mod.rs
@@ -65,8 +65,11 @@
     stories
 }
 
-/// Adds what the node believed, from the lines before the answer.
+/// Adds what the node believed, from the lines before the answer. Lines of an earlier
+/// process of that name don't count.
 fn place<'a>(story: &mut Story<'a>, before: &'a [Line]) {
+    let started = before.iter().rposition(|line| line.event == "start");
+    let before = &before[started.unwrap_or_default()..];
     let last =
         |events: &[&str]| before.iter().rev().find(|line| events.contains(&line.event.as_str()));
     story.configuration = last(&["configuration"]);
--- a/src/ops/explain/words.rs
+++ b/src/ops/explain/words.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::{Line, Story};
-use crate::ops::text::count;
+use crate::ops::text::{self, count};
 
 /// Tells the stories of a request.
 #[must_use]
@@ -12,7 +12,9 @@
     if stories.is_empty() {
         lines.push(format!(
             "No line about request {id}. Whole answers in time are mostly counted only, and \
-             lines are bounded for each second: see `passed_over` of the lines around its time."
+             lines are bounded for each second: see `passed_over` of the lines around its time. \
+             A node that was killed told nothing of what it had in hand: look for `event=start` \
+             without `event=stopped` before it."
         ));
     }
     for story in stories {
@@ -215,7 +217,10 @@
              out of reach."
                 .into()
         }
-        "failed" => "parts found no leaf before the deadline; see the decisions above.".into(),
+        "failed" => format!(
+            "{} given up, so that too few were left; see the decisions above.",
+            text::count(usize::try_from(end.number("dead")).unwrap_or_default(), "part")
+        ),
         "merged" | "success" => degraded(story, end, &steps)?,
         _ => return None,
     };
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -99,6 +99,20 @@
     assert!(text.contains("no route of the configuration in force fits"), "{text}");
 }
 
+#[test]
+fn what_an_earlier_process_believed_is_not_told() {
+    let log = "time=2026-12-03T10:00:00.000Z level=INFO event=start node=n-1\n\
+        time=2026-12-03T10:00:01.000Z level=INFO event=configuration version=3 source=store\n\
+        time=2026-12-03T10:00:02.000Z level=INFO event=start node=n-1\n\
+        time=2026-12-03T10:00:02.010Z level=INFO event=rejected id=\"r-1\" status=503 \
+        reason=starting host=\"a\" path=\"/\" version=0 upto=0\n";
+
+    let text = told(&command(&["explain", "r-1"], log));
+
+    assert!(text.contains("Configuration version 0.\n"), "{text}");
+    assert!(text.contains("no configuration yet"), "{text}");
+}
+
 #[test]
 fn an_unknown_request_ends_with_failure_and_says_where_to_look() {
     let output = command(&["explain", "r-1"], "");
