--- a/crates/dispatch/tests/suite/roster.rs
+++ b/crates/dispatch/tests/suite/roster.rs
@@ -226,3 +226,14 @@
     assert!(changes.iter().any(|(name, _)| &**name == "n-020"));
     assert!(changes.iter().any(|(name, _)| &**name == "n-177"));
 }
+
+#[test]
+fn two_lost_heartbeats_in_a_row_hide_no_node() {
+    let interval = Duration::from_millis(250);
+    let mut roster = Roster::default();
+    roster.heartbeat(Time(0), &beat("a", Phase::Serving));
+
+    let late = Time(0) + 3 * interval;
+
+    assert_eq!(roster.serving(late, None, "z").len(), 1);
+}
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -136,6 +136,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Asks the process to read its settings again.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Freezes the process until [`Process::resume`].
     pub fn freeze(&self) {
         self.signal(Signal::STOP);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod changes;
 mod explain;
+mod faults;
 mod input;
 mod nodes;
 mod output;
