Call the store less: one listing, rarer renewals, no watch by nodes that just started

Now one listing reads all keys; leases last 10 s and are renewed each 4 s; a node leaves watching to others for its first 600 ms.

--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -132,7 +132,7 @@
     };
     let value = serde_json::to_vec(&vm).expect("an entry has string keys only").into();
     let entry = Entry { key: format!("{NODES}{}", vm.node).into(), value };
-    registration::keep(context.platform.clone(), entry, |result| {
+    registration::keep(context.platform.clone(), entry, |_, result| {
         if result.is_err() {
             counter!("jacinthfall_store_failures_total").increment(1);
         }
--- a/src/gateway/audit.rs
+++ b/src/gateway/audit.rs
@@ -5,7 +5,7 @@
 //! and a few of them get lines too. Lines are bounded for each second, those about
 //! failures apart from the others. The latest lines are kept for `jacinthfall trace`.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -41,7 +41,7 @@
 /// Lines about requests that are kept, in bytes.
 const KEPT_BYTES: usize = 192 * 1024;
 
-/// Time between two lines about a route's traffic.
+/// Time between two lines about a route's traffic, or about the store's calls.
 const TRAFFIC_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Longest response time that is told apart from longer ones, in milliseconds.
@@ -141,6 +141,8 @@
     states: Sampler,
     kept: Kept,
     traffic: HashMap<id::Name, Traffic>,
+    /// Calls to the store by kind, since their last line.
+    store_calls: BTreeMap<&'static str, u64>,
     traffic_since: Time,
 }
 
@@ -157,6 +159,7 @@
             states: Sampler::open(STATE_LINES),
             kept: Kept::default(),
             traffic: HashMap::new(),
+            store_calls: BTreeMap::new(),
             traffic_since: Time(0),
         }))
     }
@@ -205,6 +208,11 @@
         lock(&self.0).kept.push(id, line);
     }
 
+    /// Counts a call to the store.
+    pub fn store_call(&self, kind: &'static str) {
+        *lock(&self.0).store_calls.entry(kind).or_default() += 1;
+    }
+
     /// Notes that a leaf's state for further requests changed.
     pub fn leaf_changed(&self, hub: &Hub, key: Key, ending: Ending, change: Change) {
         let Some(passed_over) = lock(&self.0).states.admit(hub.now()) else { return };
@@ -256,21 +264,27 @@
         requests.map(|(_, lines)| format!("{lines}\n")).collect()
     }
 
-    /// Writes a line about each route's traffic once it is due.
+    /// Writes lines about the store's calls and each route's traffic once they are due.
     pub fn summarize(&self, hub: &Hub) {
         if hub.now().since(lock(&self.0).traffic_since) >= TRAFFIC_INTERVAL {
             self.flush(hub);
         }
     }
 
-    /// Writes a line about each route's traffic since the last one.
+    /// Writes lines about the store's calls and each route's traffic since the last ones.
     pub fn flush(&self, hub: &Hub) {
         let now = hub.now();
         let mut book = lock(&self.0);
         let window = now.since(book.traffic_since);
         book.traffic_since = now;
         let traffic = std::mem::take(&mut book.traffic);
+        let calls = std::mem::take(&mut book.store_calls);
         drop(book);
+        if !calls.is_empty() {
+            let calls = calls.iter().map(|(kind, count)| format!(" {kind}={count}"));
+            let calls: String = calls.collect();
+            log::info!("event=store_calls window_ms={}{calls}", window.as_millis());
+        }
         for (route, traffic) in traffic {
             log::info!(
                 "event=traffic route={route} window_ms={} whole={} late={} partial={} refused={} \
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -7,6 +7,7 @@
 use jacinthfall_adapter::store::{Changes, Client, Error, Item};
 use jacinthfall_adapter::{configuration, registry};
 use jacinthfall_core::id;
+use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::catalog::Record;
 use jacinthfall_dispatch::roster::Node;
 use metrics::{counter, histogram};
@@ -27,6 +28,10 @@
 /// Time between two looks whether this node is the one of its zone that watches.
 const ROLE_LOOK: Duration = Duration::from_millis(200);
 
+/// Time after the start in which a node leaves watching to others: it can't know yet
+/// whether another one of its zone does.
+const ROLE_SETTLE: Duration = Duration::from_millis(600);
+
 /// Time for which a node that starts waits for what other nodes know. Those that run
 /// answer its first heartbeat at once.
 const PEERS_WAIT: Duration = Duration::from_millis(60);
@@ -44,7 +49,9 @@
     let value = serde_json::to_vec(&hub.own).expect("a node has string keys only").into();
     let entry = Entry { key: format!("{NODES}{}", hub.own.name).into(), value };
     let noting = Arc::clone(hub);
-    tokio::spawn(registration::keep(client, entry, move |result| note(&noting, "lease", result)));
+    tokio::spawn(registration::keep(client, entry, move |call, result| {
+        note(&noting, call, result)
+    }));
 }
 
 /// Makes a call to the store, measures it and notes how it ended.
@@ -69,6 +76,7 @@
         Err(Error::Refused(_)) => "refused",
         Err(Error::Unknown(_)) => "unknown",
     };
+    hub.audit.store_call(call);
     counter!("jacinthfall_store_calls_total", "call" => call, "outcome" => outcome).increment(1);
     let answers = matches!(outcome, "ok" | "rejected");
     let before = hub.store_answers.swap(answers, Ordering::Relaxed);
@@ -98,7 +106,8 @@
             backoff.pause().await;
             continue;
         }
-        if !hub.tables().roster.is_follower_of_store(hub.now(), &hub.own) {
+        let is_new = hub.now().since(Time(0)) < ROLE_SETTLE;
+        if is_new || !hub.tables().roster.is_follower_of_store(hub.now(), &hub.own) {
             tokio::time::sleep(ROLE_LOOK).await;
             continue;
         }
@@ -151,23 +160,23 @@
 
 /// Reads everything.
 async fn list(hub: &Arc<Hub>, client: &Client) -> Result<(), Error> {
-    let operator = measure(hub, "list", client.list(configuration::PREFIX)).await?;
-    for item in &operator.items {
-        apply_configuration(hub, item);
-    }
-    let leafs = measure(hub, "list", client.list(registry::PREFIX)).await?;
-    let nodes = measure(hub, "list", client.list(NODES)).await?;
-    for item in &nodes.items {
-        apply_node(hub, item);
+    let listing = measure(hub, "list", client.list(EVERYTHING)).await?;
+    let mut listed = Vec::new();
+    for item in &listing.items {
+        if item.key.starts_with(NODES) {
+            apply_node(hub, item);
+        } else if let Some(leaf) = leaf(item) {
+            listed.push(leaf);
+        } else {
+            apply_configuration(hub, item);
+        }
     }
-    let listed = leafs.items.iter().filter_map(leaf).collect();
     let now = hub.now();
     let changed = {
         let mut tables = hub.tables();
-        // What was read first may have changed while the rest was read.
-        tables.upto = tables.upto.max(operator.revision);
+        tables.upto = tables.upto.max(listing.revision);
         tables.confirmed = now;
-        tables.catalog.list(now, listed, leafs.revision)
+        tables.catalog.list(now, listed, listing.revision)
     };
     hub.leafs_changed(&changed, "store");
     Ok(())
--- a/src/registration.rs
+++ b/src/registration.rs
@@ -8,10 +8,10 @@
 use rand::Rng;
 
 /// Time for which an entry lasts without renewal.
-const LEASE: Duration = Duration::from_secs(6);
+const LEASE: Duration = Duration::from_secs(10);
 
 /// Time between two renewals.
-const RENEWAL: Duration = Duration::from_millis(2_000);
+const RENEWAL: Duration = Duration::from_millis(4_000);
 
 /// Shortest pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -53,17 +53,24 @@
     pub value: Bytes,
 }
 
-/// Keeps an entry in the store, for as long as the future is polled. `note` hears how
-/// each call ended.
-pub async fn keep(client: Client, entry: Entry, mut note: impl FnMut(&Result<(), Error>)) {
+/// Keeps an entry in the store, for as long as the future is polled. `note` hears what
+/// was called, and how that ended.
+pub async fn keep(
+    client: Client,
+    entry: Entry,
+    mut note: impl FnMut(&'static str, &Result<(), Error>),
+) {
     let mut backoff = Backoff::open();
     let mut lease = None;
     loop {
-        let result = match lease {
-            None => enroll(&client, &entry).await.map(|granted| lease = Some(granted)),
-            Some(lease) => client.renew(lease).await,
+        let (call, result) = match lease {
+            None => {
+                let granted = enroll(&client, &entry).await;
+                ("enroll", granted.map(|granted| lease = Some(granted)))
+            }
+            Some(lease) => ("renew", client.renew(lease).await),
         };
-        note(&result);
+        note(call, &result);
         match result {
             Ok(()) => {
                 backoff.reset();
