--- a/src/gateway/audit.rs
+++ b/src/gateway/audit/mod.rs
@@ -5,24 +5,29 @@
 //! and a few of them get lines too. Lines are bounded for each second, those about
 //! failures apart from the others. The latest lines are kept for `jacinthfall trace`.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Mutex;
 use std::time::Duration;
 
-use hdrhistogram::Histogram;
 use http::{HeaderValue, StatusCode};
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::fleet::{Change, Ending, Key};
-use jacinthfall_dispatch::flight::{Answer, Ended, Event, Flight, Obstacle, Reason, Step};
+use jacinthfall_dispatch::flight::{Answer, Flight};
 use jacinthfall_route::leaf::State;
 use jacinthfall_route::snapshot::Route;
 use metrics::{counter, gauge, histogram};
 
-use super::hub::{Hub, Tables};
+use super::hub::Hub;
 use crate::util::lock::lock;
 use crate::util::output::Sampler;
 
+mod lines;
+mod traffic;
+
+use lines::{Outcome, text};
+use traffic::{Grade, Traffic};
+
 /// Lines in a second about requests that failed or were refused.
 const FAILED_LINES: u32 = 100;
 
@@ -35,18 +40,12 @@
 /// Lines in a second about leafs' states.
 const STATE_LINES: u32 = 20;
 
-/// Lines about the decisions on one request.
-const MAX_STEPS: usize = 24;
-
 /// Lines about requests that are kept, in bytes.
 const KEPT_BYTES: usize = 192 * 1024;
 
 /// Time between two lines about a route's traffic, or about the store's calls.
 const TRAFFIC_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Longest response time that is told apart from longer ones, in milliseconds.
-const MAX_MILLIS: u64 = 60_000;
-
 /// A request, as far as its lines need it.
 #[derive(Clone, Copy, Debug)]
 pub struct Request<'a> {
@@ -66,55 +65,6 @@
     pub version: u64,
 }
 
-/// How well a request was served.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Grade {
-    Whole,
-    /// Whole and in time, with sends beyond the first of each part.
-    Repeated,
-    Late,
-    Partial,
-    Refused,
-    Failed,
-    Abandoned,
-}
-
-impl Grade {
-    fn of(request: &Request<'_>, took: Duration, answer: Option<&Answer>) -> Grade {
-        match answer {
-            None => Grade::Abandoned,
-            Some(Answer::Refused { .. }) => Grade::Refused,
-            Some(Answer::Failed(_)) => Grade::Failed,
-            Some(Answer::Forward(reply)) if !reply.status.is_success() => Grade::Failed,
-            Some(Answer::Merged { missing: 1.., .. }) => Grade::Partial,
-            Some(_) if took > request.route.objective => Grade::Late,
-            Some(_) if request.flight.tally().extra > 0 => Grade::Repeated,
-            Some(_) => Grade::Whole,
-        }
-    }
-}
-
-/// Answers of one route since its last line.
-#[derive(Debug)]
-struct Traffic {
-    grades: HashMap<Grade, u64>,
-    extra: u64,
-    missing: u64,
-    /// Response times of answers, in milliseconds.
-    took: Histogram<u32>,
-}
-
-impl Traffic {
-    fn open() -> Traffic {
-        let took = Histogram::new_with_bounds(1, MAX_MILLIS, 2).expect("the bounds are valid");
-        Traffic { grades: HashMap::new(), extra: 0, missing: 0, took }
-    }
-
-    fn count(&self, grade: Grade) -> u64 {
-        self.grades.get(&grade).copied().unwrap_or_default()
-    }
-}
-
 /// Latest lines about requests, oldest first.
 #[derive(Debug, Default)]
 struct Kept {
@@ -140,7 +90,7 @@
     whole: Sampler,
     states: Sampler,
     kept: Kept,
-    traffic: HashMap<id::Name, Traffic>,
+    traffic: Traffic,
     /// Calls to the store by kind, since their last line.
     store_calls: BTreeMap<&'static str, u64>,
     traffic_since: Time,
@@ -158,7 +108,7 @@
             whole: Sampler::open(WHOLE_LINES),
             states: Sampler::open(STATE_LINES),
             kept: Kept::default(),
-            traffic: HashMap::new(),
+            traffic: Traffic::default(),
             store_calls: BTreeMap::new(),
             traffic_since: Time(0),
         }))
@@ -175,11 +125,11 @@
         measure(request, outcome.name, took);
         let passed_over = {
             let mut book = lock(&self.0);
-            book.count(request, grade, took, answer);
+            book.traffic.add(request, grade, took, answer);
             book.sampler(grade).admit(now)
         };
         let Some(passed_over) = passed_over else { return };
-        let lines = lines(hub, request, outcome, now, passed_over);
+        let lines = lines::of_request(hub, request, outcome, now, passed_over);
         for line in &lines {
             log::info!("{line}");
         }
@@ -285,24 +235,7 @@
             let calls: String = calls.collect();
             log::info!("event=store_calls window_ms={}{calls}", window.as_millis());
         }
-        for (route, traffic) in traffic {
-            log::info!(
-                "event=traffic route={route} window_ms={} whole={} late={} partial={} refused={} \
-                 failed={} abandoned={} p50_ms={} p99_ms={} max_ms={} extra={} missing={}",
-                window.as_millis(),
-                traffic.count(Grade::Whole) + traffic.count(Grade::Repeated),
-                traffic.count(Grade::Late),
-                traffic.count(Grade::Partial),
-                traffic.count(Grade::Refused),
-                traffic.count(Grade::Failed),
-                traffic.count(Grade::Abandoned),
-                traffic.took.value_at_quantile(0.5),
-                traffic.took.value_at_quantile(0.99),
-                traffic.took.max(),
-                traffic.extra,
-                traffic.missing
-            );
-        }
+        traffic.lines(window).for_each(|line| log::info!("{line}"));
     }
 }
 
@@ -315,29 +248,6 @@
             Grade::Whole => &mut self.whole,
         }
     }
-
-    fn count(
-        &mut self,
-        request: &Request<'_>,
-        grade: Grade,
-        took: Duration,
-        answer: Option<&Answer>,
-    ) {
-        let name = &request.route.name;
-        if !self.traffic.contains_key(name) {
-            self.traffic.insert(name.clone(), Traffic::open());
-        }
-        let traffic = self.traffic.get_mut(name).expect("inserted above");
-        *traffic.grades.entry(grade).or_default() += 1;
-        traffic.extra += request.flight.tally().extra as u64;
-        if matches!(grade, Grade::Whole | Grade::Repeated | Grade::Late | Grade::Partial) {
-            let millis = u64::try_from(took.as_millis()).unwrap_or(MAX_MILLIS);
-            traffic.took.saturating_record(millis);
-        }
-        if let Some(Answer::Merged { missing, .. }) = answer {
-            traffic.missing += *missing as u64;
-        }
-    }
 }
 
 /// A request that was answered before any decision on leafs.
@@ -355,28 +265,6 @@
     pub path: &'a str,
 }
 
-/// An answer in the words of the log.
-#[derive(Clone, Copy, Debug)]
-struct Outcome {
-    name: &'static str,
-    /// Status, missing shards or milliseconds until the caller should come back.
-    detail: u64,
-}
-
-impl Outcome {
-    fn of(answer: Option<&Answer>) -> Outcome {
-        let (name, detail) = match answer {
-            None => ("abandoned", 0),
-            Some(Answer::Forward(reply)) if reply.status.is_success() => ("success", 0),
-            Some(Answer::Forward(reply)) => ("leaf_failure", reply.status.as_u16().into()),
-            Some(Answer::Merged { missing, .. }) => ("merged", *missing as u64),
-            Some(Answer::Refused { retry_after }) => ("refused", retry_after.as_millis() as u64),
-            Some(Answer::Failed(status)) => ("failed", status.as_u16().into()),
-        };
-        Outcome { name, detail }
-    }
-}
-
 fn measure(request: &Request<'_>, outcome: &'static str, took: Duration) {
     let route = || request.route.name.clone();
     counter!("jacinthfall_requests_total", "route" => route(), "outcome" => outcome).increment(1);
@@ -393,117 +281,6 @@
     }
 }
 
-/// The lines about a request: its decisions, then its answer.
-fn lines(
-    hub: &Hub,
-    request: &Request<'_>,
-    outcome: Outcome,
-    now: Time,
-    passed_over: u64,
-) -> Vec<String> {
-    let tables = hub.tables();
-    let steps = request.flight.trail();
-    // The latest ones explain the answer.
-    let skipped = steps.len().saturating_sub(MAX_STEPS);
-    let described = steps[skipped..].iter().map(|step| describe(&tables, request, step));
-    let mut lines: Vec<String> = described.collect();
-    let tally = request.flight.tally();
-    lines.push(format!(
-        "event=answer id={:?} route={} outcome={} detail={} took_ms={} waited_ms={} parts={} \
-         done={} dead={} extra={} missing=[{}] deadline_ms={} spent_ms={} version={} upto={} \
-         known_ms={} steps_left_out={skipped} passed_over={passed_over}",
-        text(request.id),
-        request.route.name,
-        outcome.name,
-        outcome.detail,
-        now.since(request.arrived).as_millis(),
-        request.flight.waited().as_millis(),
-        request.flight.parts(),
-        tally.done,
-        tally.dead,
-        tally.extra,
-        missing(&tables, request.flight),
-        request.deadline.since(request.arrived).as_millis(),
-        request.spent.as_millis(),
-        request.version,
-        tables.upto,
-        now.since(tables.confirmed).as_millis(),
-    ));
-    lines
-}
-
-fn describe(tables: &Tables, request: &Request<'_>, step: &Step) -> String {
-    let (event, details) = match step.event {
-        Event::Sent { leaf, reason, outlook } => {
-            let (reported, age) = outlook
-                .report
-                .map_or((-1, 0), |(requests, age)| (i64::from(requests), age.as_millis()));
-            let details = format!(
-                "leaf={} reason={} expected_ms={} in_flight={} reported={reported} \
-                 report_age_ms={age}",
-                leaf_name(tables, leaf),
-                reason_name(reason),
-                outlook.expected.as_millis(),
-                outlook.in_flight,
-            );
-            ("send", details)
-        }
-        Event::Ended { leaf, ended } => {
-            let leaf = leaf_name(tables, leaf);
-            ("response", format!("leaf={leaf} result={}", ended_name(ended)))
-        }
-        Event::Held(obstacle) => ("not_resent", format!("why={}", obstacle_name(obstacle))),
-        Event::GivenUp(obstacle) => ("given_up", format!("why={}", obstacle_name(obstacle))),
-    };
-    let at = step.at.since(request.arrived).as_millis();
-    let service = &step.service;
-    format!("event={event} id={:?} at_ms={at} service={service} {details}", text(request.id))
-}
-
-fn leaf_name(tables: &Tables, key: Key) -> String {
-    tables.fleet.leaf(key).map_or_else(|| format!("life-{}", key.0), |leaf| leaf.id.to_string())
-}
-
-/// Parts without an answer, with the leafs that were given them.
-fn missing(tables: &Tables, flight: &Flight) -> String {
-    let parts = flight.missing().map(|(service, keys)| {
-        let leafs: Vec<String> = keys.iter().map(|key| leaf_name(tables, *key)).collect();
-        format!("{service}:{}", leafs.join("+"))
-    });
-    parts.collect::<Vec<_>>().join(" ")
-}
-
-const fn reason_name(reason: Reason) -> &'static str {
-    match reason {
-        Reason::First => "first",
-        Reason::Late => "late",
-        Reason::Failed => "failed",
-    }
-}
-
-const fn ended_name(ended: Ended) -> &'static str {
-    match ended {
-        Ended::Success => "success",
-        Ended::Failure => "failure",
-        Ended::NotRun => "not_run",
-        Ended::Unsent => "unsent",
-        Ended::Unknown => "unknown",
-    }
-}
-
-const fn obstacle_name(obstacle: Obstacle) -> &'static str {
-    match obstacle {
-        Obstacle::MayHaveRun => "may_have_run",
-        Obstacle::Attempts => "attempts",
-        Obstacle::NoLeaf => "no_leaf",
-        Obstacle::Budget => "budget",
-    }
-}
-
-fn text(value: &HeaderValue) -> String {
-    String::from_utf8_lossy(value.as_bytes()).into_owned()
-}
-
 /// Shows what the node knows in its metrics.
 pub fn show(hub: &Hub) {
     let now = hub.now();
