Join the clocks and the stand-ins' command lines; a node's start is in milliseconds

The clock stood three times (daemon, gateway, stand-ins), the frame of the stand-ins' programs twice. A gateway node's start was in microseconds where its comment says milliseconds; it is only compared for equality.

--- a/src/daemon/clock.rs
+++ b/crates/net/src/clock.rs
@@ -14,7 +14,7 @@
     /// Starts the monotonic clock at zero.
     ///
     /// ```
-    /// use jacinthfall::daemon::clock::Clock;
+    /// use jacinthfall_net::clock::Clock;
     /// let clock = Clock::open();
     /// assert!(clock.time() <= clock.time());
     /// ```
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,4 +1,4 @@
-//! HTTP/2 client and server edges on a small tokio runtime.
+//! HTTP/2 client and server edges on a small tokio runtime, and the clocks of a process.
 //!
 //! [`client::Client`] is one connection that carries many requests at a time;
 //! dropping a request's future resets its stream and leaves the connection
@@ -12,6 +12,7 @@
 use tokio::runtime::{Builder, Runtime};
 
 pub mod client;
+pub mod clock;
 pub mod server;
 pub mod stream;
 
--- a/crates/standin/src/leaf/server.rs
+++ b/crates/standin/src/leaf/server.rs
@@ -8,11 +8,11 @@
 use http::StatusCode;
 use jacinthfall_core::id;
 use jacinthfall_core::leaf::{Query, Refusal, Reply};
+use jacinthfall_net::clock::Clock;
 use jacinthfall_net::server::{Handler, Request, Response, Server};
 use serde::Serialize;
 use tokio::sync::oneshot;
 
-use crate::clock::Clock;
 use crate::leaf::control::{Change, Report};
 use crate::leaf::fault::Sending;
 use crate::leaf::settings::Settings;
@@ -163,14 +163,14 @@
 impl Leaf {
     fn open(seed: u64, settings: crate::leaf::settings::Leaf, clock: Clock) -> Arc<Leaf> {
         let name = settings.name.clone();
-        let now = Now { time: clock.now(), wall: clock.wall() };
+        let now = Now { time: clock.time(), wall: clock.wall() };
         let state = State::new(seed, settings, now);
         let shared = Mutex::new(Shared { state, waiting: BTreeMap::new() });
         Arc::new(Leaf { name, clock, shared })
     }
 
     fn now(&self) -> Now {
-        Now { time: self.clock.now(), wall: self.clock.wall() }
+        Now { time: self.clock.time(), wall: self.clock.wall() }
     }
 
     fn lock(&self) -> MutexGuard<'_, Shared> {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,9 +5,9 @@
 //! process; [`rows`] is the ground truth of what leafs hold;
 //! [`deployment`] reads the example settings of the two deployments.
 
-pub mod clock;
 pub mod deployment;
 pub mod leaf;
 pub mod platform;
+pub mod process;
 pub mod rows;
 pub mod settings;
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -16,6 +16,7 @@
 use hyper_util::server::conn::auto;
 use jacinthfall_adapter::message::{self, MAX_VALUE_BYTES};
 use jacinthfall_core::time::Time;
+use jacinthfall_net::clock::Clock;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
@@ -23,7 +24,6 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinHandle;
 
-use crate::clock::Clock;
 use crate::platform::Settings;
 use crate::platform::control::{Change, Counters};
 use crate::platform::rate::Limit;
@@ -306,14 +306,14 @@
     let message::Ttl { ttl_ms } = parse(body)?;
     admit(shared, Call::Write).await?;
     let ttl = Duration::from_millis(ttl_ms);
-    let lease = shared.lock().store.grant(shared.clock.now(), ttl);
+    let lease = shared.lock().store.grant(shared.clock.time(), ttl);
     shared.lapse_after(ttl);
     Ok(json(&message::Lease { lease, ttl_ms }))
 }
 
 async fn renew(shared: &Arc<Shared>, lease: u64) -> Reply {
     admit(shared, Call::Read).await?;
-    let renewed = shared.lock().store.renew(shared.clock.now(), lease);
+    let renewed = shared.lock().store.renew(shared.clock.time(), lease);
     let ttl = renewed.ok_or(Failure::Status(StatusCode::NOT_FOUND))?;
     shared.lapse_after(ttl);
     let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
@@ -333,7 +333,7 @@
         std::future::pending::<()>().await;
     }
     let latency = {
-        let now = shared.clock.now();
+        let now = shared.clock.time();
         let mut state = shared.lock();
         state.admit(now, call)?;
         state.latency + state.slow
@@ -379,7 +379,7 @@
     }
 
     fn lapse(&self) {
-        let now = self.clock.now();
+        let now = self.clock.time();
         self.lock().store.lapse(now);
         self.wake();
     }
--- a/src/daemon/context.rs
+++ b/src/daemon/context.rs
@@ -20,13 +20,13 @@
 use jacinthfall_core::service::Service;
 use jacinthfall_fate as fate;
 use jacinthfall_member as member;
+use jacinthfall_net::clock::Clock;
 use jacinthfall_read as read;
 use jacinthfall_timeline as timeline;
 use jacinthfall_wire::member::Rumor;
 use tokio::runtime::Handle;
 
 use super::asks::Asks;
-use super::clock::Clock;
 use super::finds::Finds;
 use super::gather::Gather;
 use super::job::Job;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -9,7 +9,6 @@
 pub mod asks;
 pub mod callers;
 pub mod change;
-pub mod clock;
 pub mod context;
 pub mod drive;
 pub mod finds;
@@ -43,6 +42,7 @@
 use jacinthfall_core::id;
 use jacinthfall_fate as fate;
 use jacinthfall_member as member;
+use jacinthfall_net::clock::Clock;
 use jacinthfall_net::server::Server;
 use jacinthfall_timeline as timeline;
 use jacinthfall_wire::member::{Rumor, State as Liveness};
@@ -51,7 +51,6 @@
 use tokio::sync::OnceCell;
 
 use asks::Asks;
-use clock::Clock;
 use context::{Context, Cores, Force};
 use finds::Finds;
 use gather::Gather;
--- a/src/daemon/timer.rs
+++ b/src/daemon/timer.rs
@@ -11,8 +11,8 @@
 use crossbeam::channel::Sender;
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
+use jacinthfall_net::clock::Clock;
 
-use super::clock::Clock;
 use super::job::Job;
 
 /// A decision core that asks to be woken.
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::Bytes;
 use jacinthfall_core::id;
@@ -17,6 +17,7 @@
 use jacinthfall_dispatch::patience::Estimate;
 use jacinthfall_dispatch::roster::{Node, Phase, Roster};
 use jacinthfall_dispatch::split::Dealer;
+use jacinthfall_net::clock::Clock;
 use jacinthfall_route::snapshot::{Route, Snapshot};
 use metrics::gauge;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -214,15 +215,15 @@
     /// Woken when connections of callers have to end.
     pub closing: tokio::sync::watch::Sender<bool>,
     tables: Mutex<Tables>,
-    start: Instant,
+    clock: Clock,
 }
 
 impl Hub {
     /// Opens the shared state of a node that knows nothing yet.
     #[must_use]
     pub fn open(settings: Settings, bound: Bound, metrics: PrometheusHandle) -> Hub {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let started = u64::try_from(wall.as_micros()).unwrap_or(u64::MAX);
+        let clock = Clock::open();
+        let started = clock.wall().0;
         let own = Node {
             name: settings.node.clone(),
             started,
@@ -259,20 +260,20 @@
             news: Notify::new(),
             closing: tokio::sync::watch::Sender::new(false),
             tables: Mutex::new(tables),
-            start: Instant::now(),
+            clock,
         }
     }
 
     /// Time since the process started, on the steady clock.
     #[must_use]
     pub fn now(&self) -> Time {
-        Time(u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX))
+        self.clock.time()
     }
 
     /// The point on the runtime's clock that a time stands for.
     #[must_use]
     pub fn instant(&self, time: Time) -> tokio::time::Instant {
-        tokio::time::Instant::from_std(self.start + Duration::from_micros(time.0))
+        tokio::time::Instant::from_std(self.clock.instant(time))
     }
 
     /// Locks the tables. Of the other locks only that of the connections to leafs is
