--- a/crates/dispatch/src/fleet/leaf.rs
+++ b/crates/dispatch/src/fleet/leaf.rs
@@ -25,7 +25,7 @@
 const MAX_PAUSE: Duration = Duration::from_millis(2_000);
 
 /// Cost of sending to another availability zone, in expected response time.
-const CROSS_ZONE: Duration = Duration::from_millis(8);
+const CROSS_ZONE: Duration = Duration::from_millis(13);
 
 /// Response times that a silent leaf may take before it counts as stalled.
 const STALL_FACTOR: f64 = 1.5;
