Cut off what callers choose in log lines

Cause: ids, hosts and paths of callers went whole into up to 25 lines each, so that a caller with ids of several kilobytes made lines of that length: the bound on lines bounded no bytes. Now 128 characters of each are written. The test failed first.

--- a/src/gateway/audit/lines.rs
+++ b/src/gateway/audit/lines.rs
@@ -8,6 +8,9 @@
 use super::Request;
 use crate::gateway::hub::{Hub, Tables};
 
+/// Longest text of a caller that a line holds, in characters.
+const MAX_TEXT_CHARS: usize = 128;
+
 /// Lines about the decisions on one request.
 const MAX_STEPS: usize = 24;
 
@@ -140,7 +143,12 @@
     }
 }
 
-/// A header's value as text.
+/// A header's value as text, cut off if it is long.
 pub(super) fn text(value: &HeaderValue) -> String {
-    String::from_utf8_lossy(value.as_bytes()).into_owned()
+    shorten(&String::from_utf8_lossy(value.as_bytes()))
+}
+
+/// The beginning of a text that a caller chose.
+pub(super) fn shorten(text: &str) -> String {
+    text.chars().take(MAX_TEXT_CHARS).collect()
 }
--- a/src/gateway/audit/mod.rs
+++ b/src/gateway/audit/mod.rs
@@ -25,7 +25,7 @@
 mod lines;
 mod traffic;
 
-use lines::{Outcome, text};
+use lines::{Outcome, shorten, text};
 use traffic::{Grade, Traffic};
 
 /// Lines in a second about requests that failed or were refused.
@@ -150,6 +150,7 @@
         };
         let id = id.map(text).unwrap_or_default();
         let status = status.as_u16();
+        let (host, path) = (shorten(host), shorten(path));
         let line = format!(
             "event=rejected id={id:?} status={status} reason={reason} host={host:?} \
              path={path:?} version={version} upto={upto} passed_over={passed_over}"
@@ -209,8 +210,9 @@
     /// The kept lines about the requests with an id.
     #[must_use]
     pub fn kept(&self, id: &str) -> String {
+        let id = shorten(id);
         let book = lock(&self.0);
-        let requests = book.kept.requests.iter().filter(|(other, _)| other == id);
+        let requests = book.kept.requests.iter().filter(|(other, _)| *other == id);
         requests.map(|(_, lines)| format!("{lines}\n")).collect()
     }
 
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -142,6 +142,22 @@
     assert!(counted > 0, "{log}");
 }
 
+#[test]
+fn what_a_caller_chooses_makes_no_line_long() {
+    let leaf = Leaf::spawn("i-1", Conduct::Fail);
+    let mut site = serving(&[route("unsafe")], &[("i-1", "a", &leaf)]);
+    let long = "x".repeat(3_000);
+    let target = format!("/nowhere/{long}");
+    assert_eq!(site.ask(0, &Request { target: &target, ..Request::default() }).status, 404);
+    assert_eq!(ask(&site, &long), 500);
+
+    let log = log(&mut site);
+
+    let about: Vec<&str> = log.lines().filter(|line| line.contains("xxx")).collect();
+    assert!(about.len() >= 2, "{log}");
+    assert!(about.iter().all(|line| line.len() < 1_000), "{log}");
+}
+
 fn number(line: &str, field: &str) -> Option<usize> {
     let field = format!(" {field}=");
     line.split_once(field.as_str())?.1.split(' ').next()?.parse().ok()
