Join what stood twice and do less for each request, heartbeat and tick

Found on reading the whole change once more; behaviour stays as it was, but for a border around the legend of the report's plots, which is now that of the load plots.

Twice: drawing of lines in plots (util::plot), parsing of a query string (lookup::field), parse and check of settings, the daemon's frame for a check of settings, the list of commands (dispatch and completion), names of reasons beside names of endings. Needless work: what a request needed was counted four times for each; host and path were copied for each request in case it is rejected; gauges were set four times a second, now when metrics are read; whether a node follows the store was worked out for each heartbeat, now only for those that are ahead; limits by service were rebuilt each tick, now when the number of nodes changes.

--- a/crates/dispatch/src/flight/part.rs
+++ b/crates/dispatch/src/flight/part.rs
@@ -17,6 +17,18 @@
     Failed,
 }
 
+impl Reason {
+    /// Short name, for logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Reason::First => "first",
+            Reason::Late => "late",
+            Reason::Failed => "failed",
+        }
+    }
+}
+
 /// Why a part was not given to a further leaf.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Obstacle {
@@ -30,6 +42,19 @@
     Budget,
 }
 
+impl Obstacle {
+    /// Short name, for logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Obstacle::MayHaveRun => "may_have_run",
+            Obstacle::Attempts => "attempts",
+            Obstacle::NoLeaf => "no_leaf",
+            Obstacle::Budget => "budget",
+        }
+    }
+}
+
 /// How a send ended, without the response itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
@@ -45,6 +70,20 @@
     Unknown,
 }
 
+impl Ended {
+    /// Short name, for logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Ended::Success => "success",
+            Ended::Failure => "failure",
+            Ended::NotRun => "not_run",
+            Ended::Unsent => "unsent",
+            Ended::Unknown => "unknown",
+        }
+    }
+}
+
 impl From<&Outcome> for Ended {
     fn from(outcome: &Outcome) -> Ended {
         match outcome {
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -284,12 +284,9 @@
         let mut names: Vec<&id::Name> = near.map(|member| &member.node.name).collect();
         names.sort_unstable();
         let position = names.partition_point(|name| **name < own.name);
-        match side {
-            Side::After => names.rotate_left(position),
-            Side::Before => {
-                names.rotate_left(position);
-                names.reverse();
-            }
+        names.rotate_left(position);
+        if side == Side::Before {
+            names.reverse();
         }
         names.into_iter().take(RING).cloned().collect()
     }
--- a/src/bin/jacinthfall/completion.rs
+++ b/src/bin/jacinthfall/completion.rs
@@ -2,6 +2,7 @@
 
 use jacinthfall::ops::Outcome;
 
+use crate::COMMANDS;
 use crate::options::{self, Command, Failure};
 
 const BRIEF: &str = "\
@@ -11,20 +12,6 @@
     jacinthfall completion bash > ~/.local/share/bash-completion/completions/jacinthfall
     jacinthfall completion fish > ~/.config/fish/completions/jacinthfall.fish";
 
-/// Commands, with the words that may follow.
-const COMMANDS: [(&str, &str); 10] = [
-    ("query", ""),
-    ("trace", ""),
-    ("explain", ""),
-    ("top", ""),
-    ("report", ""),
-    ("addresses", ""),
-    ("status", ""),
-    ("timeline", ""),
-    ("profile", "list show put history"),
-    ("completion", "bash zsh fish"),
-];
-
 /// Runs the command.
 pub fn run(arguments: &[String]) -> Result<Outcome, Failure> {
     let command = Command::new("completion SHELL", BRIEF);
@@ -45,17 +32,20 @@
 }
 
 fn names() -> String {
-    COMMANDS.map(|(name, _)| name).join(" ")
+    COMMANDS.map(|command| command.name).join(" ")
+}
+
+/// Commands after which certain words may follow, with these.
+fn followed() -> impl Iterator<Item = (&'static str, String)> {
+    let followed = COMMANDS.into_iter().filter(|command| !command.words.is_empty());
+    followed.map(|command| (command.name, command.words.join(" ")))
 }
 
 fn bash() -> String {
-    let cases: String = COMMANDS
-        .iter()
-        .filter(|(_, words)| !words.is_empty())
-        .map(|(name, words)| {
-            format!("    {name}) COMPREPLY=($(compgen -W \"{words}\" -- \"$word\")) ;;\n")
-        })
-        .collect();
+    let cases = followed().map(|(name, words)| {
+        format!("    {name}) COMPREPLY=($(compgen -W \"{words}\" -- \"$word\")) ;;\n")
+    });
+    let cases: String = cases.collect();
     format!(
         "_jacinthfall() {{\n  local word=\"${{COMP_WORDS[COMP_CWORD]}}\"\n  \
          if [ \"$COMP_CWORD\" -eq 1 ]; then\n    \
@@ -68,12 +58,12 @@
 }
 
 fn fish() -> String {
-    let mut script =
-        format!("complete -c jacinthfall -n __fish_use_subcommand -f -a \"{}\"\n", names());
-    for (name, words) in COMMANDS.iter().filter(|(_, words)| !words.is_empty()) {
-        script.push_str(&format!(
+    let lines = followed().map(|(name, words)| {
+        format!(
             "complete -c jacinthfall -n \"__fish_seen_subcommand_from {name}\" -f -a \"{words}\"\n"
-        ));
-    }
-    script
+        )
+    });
+    let lines: String = lines.collect();
+    let names = names();
+    format!("complete -c jacinthfall -n __fish_use_subcommand -f -a \"{names}\"\n{lines}")
 }
--- a/src/bin/jacinthfall/main.rs
+++ b/src/bin/jacinthfall/main.rs
@@ -50,6 +50,28 @@
 run, 4 outcome unknown: it may have run, 5 partial: shards or nodes are missing.
 ";
 
+/// A command of the program.
+struct Entry {
+    name: &'static str,
+    run: fn(&[String]) -> Result<Outcome, Failure>,
+    /// Words that may follow, for completion.
+    words: &'static [&'static str],
+}
+
+/// All commands.
+const COMMANDS: [Entry; 10] = [
+    Entry { name: "query", run: query::run, words: &[] },
+    Entry { name: "trace", run: trace::run, words: &[] },
+    Entry { name: "explain", run: explain::run, words: &[] },
+    Entry { name: "top", run: top::run, words: &[] },
+    Entry { name: "report", run: report::run, words: &[] },
+    Entry { name: "addresses", run: addresses::run, words: &[] },
+    Entry { name: "status", run: status::run, words: &[] },
+    Entry { name: "timeline", run: timeline::run, words: &[] },
+    Entry { name: "profile", run: profile::run, words: &["list", "show", "put", "history"] },
+    Entry { name: "completion", run: completion::run, words: &["bash", "zsh", "fish"] },
+];
+
 fn main() -> ExitCode {
     env_logger::init();
     let arguments: Vec<String> = env::args().skip(1).collect();
@@ -73,19 +95,12 @@
             println!("jacinthfall {}", env!("CARGO_PKG_VERSION"));
             Ok(Outcome::Done)
         }
-        "query" => query::run(rest),
-        "explain" => explain::run(rest),
-        "top" => top::run(rest),
-        "report" => report::run(rest),
-        "completion" => completion::run(rest),
-        "trace" => trace::run(rest),
-        "addresses" => addresses::run(rest),
-        "status" => status::run(rest),
-        "timeline" => timeline::run(rest),
-        "profile" => profile::run(rest),
-        other => {
-            let text = format!("`{other}` is no command; run `jacinthfall --help` for all");
-            Err(Failure::usage(text))
-        }
+        name => match COMMANDS.iter().find(|command| command.name == name) {
+            Some(command) => (command.run)(rest),
+            None => {
+                let text = format!("`{name}` is no command; run `jacinthfall --help` for all");
+                Err(Failure::usage(text))
+            }
+        },
     }
 }
--- a/src/bin/jacinthfalld/main.rs
+++ b/src/bin/jacinthfalld/main.rs
@@ -16,6 +16,7 @@
 use jacinthfall::daemon::{Daemon, VERSION};
 use jacinthfall::gateway;
 use jacinthfall::util::output;
+use jacinthfall::util::settings::Error;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -49,14 +50,10 @@
         Command::Check(file) => (file, true),
         Command::Run(file) => (file, false),
     };
-    let settings = match Settings::open(&file) {
+    let settings = match checked(&file, Settings::open(&file), check_only) {
         Ok(settings) => settings,
-        Err(error) => return fail(&error.to_string(), USAGE),
+        Err(code) => return code,
     };
-    if check_only {
-        println!("{}: settings are sound", file.display());
-        return ExitCode::SUCCESS;
-    }
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     match run(settings) {
         Ok(End::Clean) => ExitCode::SUCCESS,
@@ -65,16 +62,23 @@
     }
 }
 
+/// The settings of a file, or how the process ends: they are wrong, or only a check
+/// was asked for.
+fn checked<T>(file: &Path, opened: Result<T, Error>, check_only: bool) -> Result<T, ExitCode> {
+    let settings = opened.map_err(|error| fail(&error.to_string(), USAGE))?;
+    if check_only {
+        println!("{}: settings are sound", file.display());
+        return Err(ExitCode::SUCCESS);
+    }
+    Ok(settings)
+}
+
 /// Checks the settings of a gateway node and runs it.
 fn gateway(file: &Path, check_only: bool) -> ExitCode {
-    let settings = match gateway::settings::Settings::open(file) {
+    let settings = match checked(file, gateway::settings::Settings::open(file), check_only) {
         Ok(settings) => settings,
-        Err(error) => return fail(&error.to_string(), USAGE),
+        Err(code) => return code,
     };
-    if check_only {
-        println!("{}: settings are sound", file.display());
-        return ExitCode::SUCCESS;
-    }
     if let Err(error) = output::open() {
         return fail(&format!("can't write a log: {error}; free some resources"), 1);
     }
--- a/src/gateway/addresses.rs
+++ b/src/gateway/addresses.rs
@@ -18,7 +18,7 @@
 use tokio::net::TcpListener;
 
 use super::hub::Hub;
-use super::listener;
+use super::{listener, metrics};
 
 /// Time for which a connection may be idle or slow.
 const IDLE: Duration = Duration::from_secs(10);
@@ -57,7 +57,7 @@
             status(if serving { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
         }
         TRACE => trace(hub, request.uri().query().unwrap_or_default()),
-        METRICS => Response::new(Full::new(hub.metrics.render().into())),
+        METRICS => Response::new(Full::new(metrics::render(hub).into())),
         lookup::ADDRESSES => addresses(hub, request.uri().query().unwrap_or_default()),
         _ => status(StatusCode::NOT_FOUND),
     }
@@ -82,9 +82,7 @@
 
 /// The lines that are kept about a request, or 404 if there are none.
 fn trace(hub: &Hub, query: &str) -> Response<Full<Bytes>> {
-    let mut fields = query.split('&').filter_map(|field| field.split_once('='));
-    let id = fields.find(|(name, _)| *name == "id").map_or("", |(_, id)| id);
-    let lines = hub.audit.kept(id);
+    let lines = hub.audit.kept(lookup::field(query, "id").unwrap_or_default());
     if lines.is_empty() {
         return status(StatusCode::NOT_FOUND);
     }
--- a/src/gateway/audit/lines.rs
+++ b/src/gateway/audit/lines.rs
@@ -3,7 +3,7 @@
 use http::HeaderValue;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::fleet::Key;
-use jacinthfall_dispatch::flight::{Answer, Ended, Event, Flight, Obstacle, Reason, Step};
+use jacinthfall_dispatch::flight::{Answer, Event, Flight, Step};
 
 use super::Request;
 use crate::gateway::hub::{Hub, Tables};
@@ -50,7 +50,7 @@
     let skipped = steps.len().saturating_sub(MAX_STEPS);
     let described = steps[skipped..].iter().map(|step| describe(&tables, request, step));
     let mut lines: Vec<String> = described.collect();
-    let tally = request.flight.tally();
+    let tally = request.tally;
     lines.push(format!(
         "event=answer id={:?} route={} outcome={} detail={} took_ms={} waited_ms={} parts={} \
          done={} dead={} extra={} missing=[{}] deadline_ms={} spent_ms={} version={} upto={} \
@@ -85,7 +85,7 @@
                 "leaf={} reason={} expected_ms={} in_flight={} reported={reported} \
                  report_age_ms={age}",
                 leaf_name(tables, leaf),
-                reason_name(reason),
+                reason.name(),
                 outlook.expected.as_millis(),
                 outlook.in_flight,
             );
@@ -93,10 +93,10 @@
         }
         Event::Ended { leaf, ended } => {
             let leaf = leaf_name(tables, leaf);
-            ("response", format!("leaf={leaf} result={}", ended_name(ended)))
+            ("response", format!("leaf={leaf} result={}", ended.name()))
         }
-        Event::Held(obstacle) => ("not_resent", format!("why={}", obstacle_name(obstacle))),
-        Event::GivenUp(obstacle) => ("given_up", format!("why={}", obstacle_name(obstacle))),
+        Event::Held(obstacle) => ("not_resent", format!("why={}", obstacle.name())),
+        Event::GivenUp(obstacle) => ("given_up", format!("why={}", obstacle.name())),
     };
     let at = step.at.since(request.arrived).as_millis();
     let service = &step.service;
@@ -116,33 +116,6 @@
     parts.collect::<Vec<_>>().join(" ")
 }
 
-const fn reason_name(reason: Reason) -> &'static str {
-    match reason {
-        Reason::First => "first",
-        Reason::Late => "late",
-        Reason::Failed => "failed",
-    }
-}
-
-const fn ended_name(ended: Ended) -> &'static str {
-    match ended {
-        Ended::Success => "success",
-        Ended::Failure => "failure",
-        Ended::NotRun => "not_run",
-        Ended::Unsent => "unsent",
-        Ended::Unknown => "unknown",
-    }
-}
-
-const fn obstacle_name(obstacle: Obstacle) -> &'static str {
-    match obstacle {
-        Obstacle::MayHaveRun => "may_have_run",
-        Obstacle::Attempts => "attempts",
-        Obstacle::NoLeaf => "no_leaf",
-        Obstacle::Budget => "budget",
-    }
-}
-
 /// A header's value as text, cut off if it is long.
 pub(super) fn text(value: &HeaderValue) -> String {
     shorten(&String::from_utf8_lossy(value.as_bytes()))
--- a/src/gateway/audit/mod.rs
+++ b/src/gateway/audit/mod.rs
@@ -13,10 +13,10 @@
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::fleet::{Change, Ending, Key};
-use jacinthfall_dispatch::flight::{Answer, Flight};
+use jacinthfall_dispatch::flight::{Answer, Flight, Tally};
 use jacinthfall_route::leaf::State;
 use jacinthfall_route::snapshot::Route;
-use metrics::{counter, gauge, histogram};
+use metrics::{counter, histogram};
 
 use super::hub::Hub;
 use crate::util::lock::lock;
@@ -55,6 +55,8 @@
     pub route: &'a Route,
     /// What was decided on it.
     pub flight: &'a Flight,
+    /// What it needed.
+    pub tally: Tally,
     /// When it was complete.
     pub arrived: Time,
     /// When the caller stops waiting.
@@ -122,7 +124,7 @@
         let took = now.since(request.arrived);
         let grade = Grade::of(request, took, answer);
         let outcome = Outcome::of(answer);
-        measure(request, outcome.name, took);
+        measure(request, outcome.name, took, answer);
         let passed_over = {
             let mut book = lock(&self.0);
             book.traffic.add(request, grade, took, answer);
@@ -267,36 +269,18 @@
     pub path: &'a str,
 }
 
-fn measure(request: &Request<'_>, outcome: &'static str, took: Duration) {
+fn measure(request: &Request<'_>, outcome: &'static str, took: Duration, answer: Option<&Answer>) {
     let route = || request.route.name.clone();
     counter!("jacinthfall_requests_total", "route" => route(), "outcome" => outcome).increment(1);
     histogram!("jacinthfall_request_seconds", "route" => route(), "outcome" => outcome)
         .record(took);
     histogram!("jacinthfall_queue_seconds", "route" => route()).record(request.flight.waited());
-    let extra = request.flight.tally().extra as u64;
+    let extra = request.tally.extra as u64;
     if extra > 0 {
         counter!("jacinthfall_extra_sends_total", "route" => route()).increment(extra);
     }
-    let missing = request.flight.missing().count() as u64;
-    if outcome == "merged" && missing > 0 {
+    if let Some(Answer::Merged { missing: missing @ 1.., .. }) = answer {
+        let missing = *missing as u64;
         counter!("jacinthfall_missing_parts_total", "route" => route()).increment(missing);
     }
 }
-
-/// Shows what the node knows in its metrics.
-pub fn show(hub: &Hub) {
-    let now = hub.now();
-    let mut tables = hub.tables();
-    gauge!("jacinthfall_configuration_version").set(tables.version() as f64);
-    gauge!("jacinthfall_leafs_usable").set(tables.catalog.usable().count() as f64);
-    gauge!("jacinthfall_nodes").set(tables.nodes as f64);
-    let known = now.since(tables.confirmed);
-    gauge!("jacinthfall_knowledge_age_seconds").set(known.as_secs_f64());
-    let services = tables.configuration.as_ref();
-    let services: Vec<id::Name> =
-        services.map(|known| known.snapshot.services.keys().cloned().collect()).unwrap_or_default();
-    for service in services {
-        let left = tables.budget.left(now, &service);
-        gauge!("jacinthfall_extra_sends_left", "service" => service).set(left);
-    }
-}
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
+use http::uri::Authority;
 use http::{HeaderValue, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -104,7 +105,7 @@
 async fn answer(hub: &Arc<Hub>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let _in_hand = InHand::open(hub);
     let asked = Asked::of(&request);
-    let result = match route(hub, &request) {
+    let result = match asked.route(hub) {
         Ok((snapshot, route)) => handle(hub, &snapshot, &route, request).await,
         Err(rejection) => Err(rejection),
     };
@@ -158,10 +159,10 @@
     }
 }
 
-/// What a caller asked for, for the log line of a request that isn't passed on.
+/// What decides where a request goes, also for its log line if it goes nowhere.
 struct Asked {
     id: Option<HeaderValue>,
-    host: String,
+    host: Option<HeaderValue>,
     target: Uri,
 }
 
@@ -169,35 +170,36 @@
     fn of(request: &Request<Incoming>) -> Asked {
         Asked {
             id: request.headers().get(header::REQUEST_ID).cloned(),
-            host: host(request).to_owned(),
+            host: request.headers().get(HOST).cloned(),
             target: request.uri().clone(),
         }
     }
 
+    /// Host, from the target if that names one.
+    fn host(&self) -> &str {
+        let named = self.target.authority().map(Authority::as_str);
+        named.or_else(|| self.host.as_ref()?.to_str().ok()).unwrap_or_default()
+    }
+
+    fn route(&self, hub: &Hub) -> Result<(Arc<Snapshot>, Arc<Route>), Rejection> {
+        let snapshot = hub.snapshot().ok_or(Rejection::Starting)?;
+        let route = snapshot.route(self.host(), self.target.path());
+        let route = Arc::clone(route.ok_or(Rejection::NotFound)?);
+        Ok((snapshot, route))
+    }
+
     fn rejected(&self, hub: &Hub, rejection: Rejection, status: StatusCode) {
         let rejected = audit::Rejected {
             id: self.id.as_ref(),
             status,
             reason: rejection.name(),
-            host: &self.host,
+            host: self.host(),
             path: self.target.path(),
         };
         hub.audit.rejected(hub, &rejected);
     }
 }
 
-fn host(request: &Request<Incoming>) -> &str {
-    let host = request.uri().authority().map(|authority| authority.as_str());
-    host.or_else(|| request.headers().get(HOST)?.to_str().ok()).unwrap_or_default()
-}
-
-fn route(hub: &Hub, request: &Request<Incoming>) -> Result<(Arc<Snapshot>, Arc<Route>), Rejection> {
-    let snapshot = hub.snapshot().ok_or(Rejection::Starting)?;
-    let route = snapshot.route(host(request), request.uri().path());
-    let route = Arc::clone(route.ok_or(Rejection::NotFound)?);
-    Ok((snapshot, route))
-}
-
 async fn handle(
     hub: &Arc<Hub>,
     snapshot: &Snapshot,
@@ -392,6 +394,7 @@
             id: &self.outbound.id,
             route: self.route,
             flight: &self.flight,
+            tally: self.flight.tally(),
             arrived: self.arrived,
             deadline: self.outbound.deadline,
             spent: self.outbound.spent,
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -19,11 +19,10 @@
 use jacinthfall_dispatch::split::Dealer;
 use jacinthfall_net::clock::Clock;
 use jacinthfall_route::snapshot::{Route, Snapshot};
-use metrics::gauge;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::sync::Notify;
 
-use super::audit::{self, Audit};
+use super::audit::Audit;
 use super::leafs::Pool;
 use super::settings::Settings;
 use crate::util::lock::lock;
@@ -383,7 +382,10 @@
             let known = tables.roster.len() + 1;
             let settled = now.since(Time(0)) > SHRINK_AFTER;
             let least = if settled { known.min(INITIAL_NODES) } else { INITIAL_NODES };
-            tables.share(active.max(least));
+            let nodes = active.max(least);
+            if nodes != tables.nodes {
+                tables.share(nodes);
+            }
             (silent, tables.catalog.expire(now))
         };
         for (name, change) in silent {
@@ -394,11 +396,6 @@
         }
         hub.pool.expire(now);
         hub.audit.summarize(&hub);
-        audit::show(&hub);
-        let in_hand = hub.in_hand.load(Ordering::Relaxed);
-        gauge!("jacinthfall_requests_in_hand").set(in_hand as f64);
-        let answers = hub.store_answers.load(Ordering::Relaxed);
-        gauge!("jacinthfall_store_answers").set(if answers { 1.0 } else { 0.0 });
         hub.metrics.run_upkeep();
     }
 }
--- /dev/null
+++ b/src/gateway/metrics.rs
@@ -0,0 +1,84 @@
+//! Metrics of a gateway node, in the Prometheus text format.
+
+use std::sync::atomic::Ordering;
+
+use jacinthfall_core::id;
+use metrics::{describe_counter, describe_gauge, describe_histogram, gauge};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+use super::hub::Hub;
+
+/// Upper bounds of the buckets of response times, in seconds.
+const BUCKETS: [f64; 12] = [0.005, 0.01, 0.02, 0.04, 0.06, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 6.0];
+
+/// Installs the recorder of metrics, with help texts.
+pub fn record() -> Result<PrometheusHandle, Box<dyn std::error::Error + Send + Sync>> {
+    let recorder = PrometheusBuilder::new().set_buckets(&BUCKETS)?.build_recorder();
+    let handle = recorder.handle();
+    metrics::set_global_recorder(recorder)?;
+    describe_counter!("jacinthfall_requests_total", "Requests by route and outcome");
+    describe_histogram!(
+        "jacinthfall_request_seconds",
+        "Time to answer a request, by route and outcome"
+    );
+    describe_histogram!(
+        "jacinthfall_queue_seconds",
+        "Time until enough parts of a request had a leaf, by route"
+    );
+    describe_histogram!(
+        "jacinthfall_response_seconds",
+        "Time of a send until the leaf's success, by route"
+    );
+    describe_histogram!("jacinthfall_store_call_seconds", "Time of calls to the store, by kind");
+    describe_counter!(
+        "jacinthfall_rejections_total",
+        "Requests answered before any leaf was chosen, by reason"
+    );
+    describe_counter!("jacinthfall_extra_sends_total", "Parts given to a further leaf, by route");
+    describe_counter!("jacinthfall_missing_parts_total", "Shards left out of answers, by route");
+    describe_counter!("jacinthfall_sends_total", "Sends to leafs by outcome");
+    describe_counter!("jacinthfall_store_calls_total", "Calls to the store by kind and outcome");
+    describe_counter!("jacinthfall_exchanges_total", "Exchanges with other nodes by outcome");
+    describe_gauge!("jacinthfall_configuration_version", "Version of the configuration in force");
+    describe_gauge!("jacinthfall_leafs_usable", "Leafs that may be given requests");
+    describe_gauge!(
+        "jacinthfall_knowledge_age_seconds",
+        "Time since the store, or a node that it answers, confirmed what this node knows"
+    );
+    describe_gauge!(
+        "jacinthfall_extra_sends_left",
+        "Further sends to a service that the bound still allows this node"
+    );
+    describe_gauge!("jacinthfall_nodes", "Nodes that share the bound on extra sends");
+    describe_gauge!("jacinthfall_requests_in_hand", "Requests without an answer yet");
+    describe_gauge!("jacinthfall_store_answers", "Whether the store answered the last call");
+    Ok(handle)
+}
+
+/// Renders the metrics, with what the node knows and has in hand at the moment.
+#[must_use]
+pub fn render(hub: &Hub) -> String {
+    show(hub);
+    hub.metrics.render()
+}
+
+fn show(hub: &Hub) {
+    let in_hand = hub.in_hand.load(Ordering::Relaxed);
+    gauge!("jacinthfall_requests_in_hand").set(in_hand as f64);
+    let answers = hub.store_answers.load(Ordering::Relaxed);
+    gauge!("jacinthfall_store_answers").set(if answers { 1.0 } else { 0.0 });
+    let now = hub.now();
+    let mut tables = hub.tables();
+    gauge!("jacinthfall_configuration_version").set(tables.version() as f64);
+    gauge!("jacinthfall_leafs_usable").set(tables.catalog.usable().count() as f64);
+    gauge!("jacinthfall_nodes").set(tables.nodes as f64);
+    let known = now.since(tables.confirmed);
+    gauge!("jacinthfall_knowledge_age_seconds").set(known.as_secs_f64());
+    let services = tables.configuration.as_ref();
+    let services: Vec<id::Name> =
+        services.map(|known| known.snapshot.services.keys().cloned().collect()).unwrap_or_default();
+    for service in services {
+        let left = tables.budget.left(now, &service);
+        gauge!("jacinthfall_extra_sends_left", "service" => service).set(left);
+    }
+}
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -234,8 +234,8 @@
             if beat.store_answers && beat.upto <= tables.upto {
                 tables.confirmed = now;
             }
-            let follows = tables.roster.is_follower_of_store(now, &hub.own);
-            (beat.upto > tables.upto, follows)
+            let ahead = beat.upto > tables.upto;
+            (ahead, ahead && tables.roster.is_follower_of_store(now, &hub.own))
         };
         if !ahead {
             continue;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -143,8 +143,7 @@
     ///
     /// Any [`Error`], naming the file, the key and the remedy.
     pub fn open(file: &Path) -> Result<Settings, Error> {
-        let text = settings::read(file)?;
-        Settings::parse(file, &text)
+        Settings::parse(file, &settings::read(file)?)
     }
 
     /// Parses and checks the text of a settings file; `file` is for messages.
@@ -159,9 +158,7 @@
     /// assert!(error.to_string().contains("`nod`"));
     /// ```
     pub fn parse(file: &Path, text: &str) -> Result<Settings, Error> {
-        let settings: Settings = settings::parse(file, text)?;
-        settings.check(file)?;
-        Ok(settings)
+        settings::parse(file, text, Settings::check)
     }
 
     /// The bound on extra sends.
--- a/src/load/plot.rs
+++ b/src/load/plot.rs
@@ -5,6 +5,7 @@
 use plotters::prelude::*;
 
 use crate::load::report::{Point, Report};
+use crate::util::plot;
 
 /// Size of a plot, in pixels.
 const SIZE: (u32, u32) = (900, 560);
@@ -41,22 +42,11 @@
         .y_desc("ms")
         .x_label_formatter(&|x| format!("{x:.0}"))
         .draw()?;
-    for (index, report) in reports.iter().enumerate() {
-        let color = Palette99::pick(index).to_rgba();
-        let line = report.total.latency.curve.iter().map(|point| (rarity(point), millis(point)));
-        chart
-            .draw_series(LineSeries::new(line, color.stroke_width(2)))?
-            .label(report.name.as_str())
-            .legend(move |(x, y)| {
-                PathElement::new(vec![(x, y), (x + 18, y)], color.stroke_width(2))
-            });
-    }
-    chart
-        .configure_series_labels()
-        .position(SeriesLabelPosition::UpperLeft)
-        .background_style(WHITE.mix(0.8))
-        .border_style(BLACK)
-        .draw()?;
+    let lines = reports.iter().map(|report| {
+        let curve = report.total.latency.curve.iter();
+        (report.name.to_string(), curve.map(|point| (rarity(point), millis(point))).collect())
+    });
+    plot::lines(&mut chart, lines, SeriesLabelPosition::UpperLeft)?;
     area.present()?;
     Ok(())
 }
--- a/src/ops/report.rs
+++ b/src/ops/report.rs
@@ -6,6 +6,7 @@
 use plotters::prelude::*;
 
 use super::explain::{Line, Logs};
+use crate::util::plot;
 
 /// Size of a plot, in pixels.
 const SIZE: (u32, u32) = (1_000, 320);
@@ -190,20 +191,8 @@
             let path = [(*at, top * 0.96), (*at, top)];
             chart.draw_series([PathElement::new(path, color(event))])?;
         }
-        for (index, (name, points)) in plot.series.iter().enumerate() {
-            let color = Palette99::pick(index).to_rgba();
-            chart
-                .draw_series(LineSeries::new(points.iter().copied(), color.stroke_width(2)))?
-                .label(name.as_str())
-                .legend(move |(x, y)| {
-                    PathElement::new(vec![(x, y), (x + 18, y)], color.stroke_width(2))
-                });
-        }
-        chart
-            .configure_series_labels()
-            .position(SeriesLabelPosition::UpperRight)
-            .background_style(WHITE.mix(0.8))
-            .draw()?;
+        let lines = plot.series.iter().cloned();
+        plot::lines(&mut chart, lines, SeriesLabelPosition::UpperRight)?;
         area.present()?;
     }
     Ok(svg)
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -3,4 +3,5 @@
 pub mod jsonc;
 pub mod lock;
 pub mod output;
+pub mod plot;
 pub mod settings;
--- a/src/util/settings.rs
+++ b/src/util/settings.rs
@@ -54,23 +54,30 @@
     fs::read_to_string(file).map_err(|source| Error::Read { file: file.into(), source })
 }
 
-/// Parses the text of a settings file; `file` is for messages.
+/// Parses and checks the text of a settings file; `file` is for messages.
 ///
 /// # Errors
 ///
-/// [`Error::Parse`].
+/// [`Error::Parse`], or what the check finds.
 ///
 /// ```
 /// use jacinthfall::util::settings;
-/// let error = settings::parse::<Vec<u8>>("node.jsonc".as_ref(), "[1, -2]").unwrap_err();
+/// let file = "node.jsonc".as_ref();
+/// let error = settings::parse(file, "[1, -2]", |_: &Vec<u8>, _| Ok(())).unwrap_err();
 /// assert!(error.to_string().contains("[1]"));
 /// ```
-pub fn parse<T: DeserializeOwned>(file: &Path, text: &str) -> Result<T, Error> {
-    jsonc::parse(text).map_err(|fault| Error::Parse {
+pub fn parse<T: DeserializeOwned>(
+    file: &Path,
+    text: &str,
+    check: impl FnOnce(&T, &Path) -> Result<(), Error>,
+) -> Result<T, Error> {
+    let settings = jsonc::parse(text).map_err(|fault| Error::Parse {
         file: file.into(),
         key: fault.key,
         message: fault.message,
-    })
+    })?;
+    check(&settings, file)?;
+    Ok(settings)
 }
 
 /// Checks one value of a settings file.
