Let rejected parts wait for a leaf instead of giving them up at once

A rejected part whose other leafs were in use at that moment was given up at once, so 166 of some 420 logged queries failed after 2 ms with 100 ms left. In the same way a late part got a single search for a second leaf.

Change: such a part is searched a leaf for until the answer is due, and may go back to a leaf that rejected it; it still reaches no more leafs than the route allows. A hedge that finds no leaf or no budget is tried again each 8 ms. The log tells leafs that are busy (leafs_busy) from no leaf at all (no_leaf).

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -18,7 +18,7 @@
 mod search;
 
 pub use leaf::{Assessment, Change, Ending, Leaf, Report};
-pub use search::{Demand, Placement};
+pub use search::{Candidates, Demand, Placement};
 
 use leaf::InFlight;
 use search::{CAPACITY_POLL, OVERRUN_FACTOR, Search};
@@ -167,7 +167,7 @@
         let Some(keys) = self.services.get(service) else { return Placement::NoLeaf };
         let max_response = OVERRUN_FACTOR * demand.respond_by.since(now).as_secs_f64();
         let mut search = Search::default();
-        for key in keys.iter().filter(|key| !demand.tried.contains(key)) {
+        for key in keys.iter().filter(|key| demand.candidates.contains(**key)) {
             let leaf = &self.leafs[key];
             if leaf.misdirected {
                 continue;
--- a/crates/dispatch/src/fleet/search.rs
+++ b/crates/dispatch/src/fleet/search.rs
@@ -26,6 +26,38 @@
     NoLeaf,
 }
 
+/// The leafs of a service that a request may be sent to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Candidates {
+    /// All leafs but these.
+    AllBut(Vec<Key>),
+    /// No leafs but these.
+    Only(Vec<Key>),
+}
+
+impl Candidates {
+    /// Returns an empty set.
+    #[must_use]
+    pub const fn none() -> Candidates {
+        Candidates::Only(Vec::new())
+    }
+
+    /// Whether there can't be any.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        matches!(self, Candidates::Only(leafs) if leafs.is_empty())
+    }
+
+    /// Whether a leaf is among them.
+    #[must_use]
+    pub fn contains(&self, leaf: Key) -> bool {
+        match self {
+            Candidates::AllBut(leafs) => !leafs.contains(&leaf),
+            Candidates::Only(leafs) => leafs.contains(&leaf),
+        }
+    }
+}
+
 /// A request that needs a leaf.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand<'a> {
@@ -33,8 +65,8 @@
     pub usual: Duration,
     /// When its response is needed.
     pub respond_by: Time,
-    /// Leafs that it was already sent to.
-    pub tried: &'a [Key],
+    /// Leafs that it may be sent to.
+    pub candidates: &'a Candidates,
     /// Whether it is already in the queue of its service.
     pub queued: bool,
 }
--- a/crates/dispatch/src/flight.rs
+++ b/crates/dispatch/src/flight.rs
@@ -19,7 +19,7 @@
 use jacinthfall_route::snapshot::{Route, Target};
 
 use crate::budget::Budget;
-use crate::fleet::{Demand, Fleet, Key, Placement};
+use crate::fleet::{Candidates, Demand, Fleet, Key, Placement};
 use crate::latency::Latency;
 use crate::merge;
 
@@ -65,6 +65,16 @@
 /// Maximum time between two searches for a leaf by a queued part.
 const MAX_SEARCH_INTERVAL: Duration = Duration::from_millis(12);
 
+/// Interval between two attempts to hedge a late part while no leaf can take it or the budget
+/// is exhausted.
+const HEDGE_RETRY_INTERVAL: Duration = Duration::from_millis(8);
+
+/// Interval between two searches for a leaf for a part whose sends have all ended.
+const RESEND_INTERVAL: Duration = Duration::from_millis(6);
+
+/// Number of rejections after which a part isn't sent again to a leaf that rejected it.
+const MAX_REJECTIONS: usize = 6;
+
 /// Minimum retry delay that is sent to a refused caller.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(30);
 
@@ -320,7 +330,10 @@
             if state.is_pending() && state.late_at.is_some_and(|at| at <= now) {
                 state.late_at = None;
                 if let Err(obstacle) = self.hedge(now, part, context, &mut actions) {
-                    self.parts[part].not_resent = Some((now, obstacle));
+                    let state = &mut self.parts[part];
+                    state.not_resent = Some((now, obstacle));
+                    let retries = obstacle.may_pass() && now < self.answer_by;
+                    state.late_at = retries.then(|| now + HEDGE_RETRY_INTERVAL);
                 }
             }
         }
@@ -338,14 +351,51 @@
             && self.answered_count() >= self.min_answers.max(1)
     }
 
-    /// Whether the route and [`MAX_UNSENT`] allow another send of a part.
-    fn has_attempts_left(&self, part: usize) -> bool {
+    /// Returns the leafs that a part may be sent to and that haven't got it yet.
+    fn new_candidates(&self, part: usize) -> Candidates {
         let part = &self.parts[part];
-        part.attempts < self.route.attempts && part.unsent <= MAX_UNSENT
+        if part.leaf_count() < self.route.attempts && part.unsent <= MAX_UNSENT {
+            Candidates::AllBut(part.sends.iter().map(|send| send.leaf).collect())
+        } else {
+            Candidates::none()
+        }
+    }
+
+    /// Returns the leafs that a part may be sent to once more, since they rejected it.
+    fn repeat_candidates(&self, part: usize) -> Candidates {
+        let part = &self.parts[part];
+        if part.rejections() < MAX_REJECTIONS {
+            Candidates::Only(part.rejecting_leafs())
+        } else {
+            Candidates::none()
+        }
+    }
+
+    /// Whether the route, [`MAX_UNSENT`] and [`MAX_REJECTIONS`] allow another send of a part.
+    fn has_candidates(&self, part: usize) -> bool {
+        !self.new_candidates(part).is_empty() || !self.repeat_candidates(part).is_empty()
     }
 
-    /// Finds a leaf that a part hasn't been sent to yet.
+    /// Finds a leaf for a part: one that hasn't got it yet, else one that rejected it.
     fn place(&self, now: Time, part: usize, context: &mut Context<'_>) -> Placement {
+        let placement = self.place_among(now, part, &self.new_candidates(part), context);
+        let repeat = self.repeat_candidates(part);
+        if matches!(placement, Placement::Leaf(_)) || repeat.is_empty() {
+            return placement;
+        }
+        match self.place_among(now, part, &repeat, context) {
+            Placement::Leaf(leaf) => Placement::Leaf(leaf),
+            Placement::Queue(_) | Placement::Later(_) | Placement::NoLeaf => placement,
+        }
+    }
+
+    fn place_among(
+        &self,
+        now: Time,
+        part: usize,
+        candidates: &Candidates,
+        context: &mut Context<'_>,
+    ) -> Placement {
         let usual = context.latency.quantile(0.5);
         let respond_by = match self.route.target {
             Target::Gather(_) => {
@@ -354,8 +404,7 @@
             Target::Service(_) | Target::Split(_) => self.deadline,
         };
         let part = &self.parts[part];
-        let tried: Vec<Key> = part.sends.iter().map(|send| send.leaf).collect();
-        let demand = Demand { usual, respond_by, tried: &tried, queued: part.queued };
+        let demand = Demand { usual, respond_by, candidates, queued: part.queued };
         context.fleet.place(now, &part.service, &demand)
     }
 
@@ -387,7 +436,6 @@
         let hedge_delay = self.hedge_delay(now, context.latency).max(expected);
         let state = &mut self.parts[part];
         state.sends.push(Send { leaf, at: now, reason, assessment, completion: None });
-        state.attempts += 1;
         state.late_at = (state.sends.len() == 1).then(|| now + hedge_delay);
         Action::Send { part, leaf }
     }
@@ -455,8 +503,10 @@
         context: &mut Context<'_>,
         actions: &mut Vec<Action>,
     ) -> Result<(), Obstacle> {
-        let Placement::Leaf(leaf) = self.place(now, part, context) else {
-            return Err(Obstacle::NoLeaf);
+        let leaf = match self.place(now, part, context) {
+            Placement::Leaf(leaf) => leaf,
+            Placement::Queue(_) | Placement::Later(_) => return Err(Obstacle::LeafsBusy),
+            Placement::NoLeaf => return Err(Obstacle::NoLeaf),
         };
         if !context.budget.try_acquire(now, &self.parts[part].service) {
             return Err(Obstacle::Budget);
@@ -476,13 +526,15 @@
         if !self.route.idempotent {
             return Err(Obstacle::MayHaveRun);
         }
-        if !self.has_attempts_left(part) {
+        if !self.has_candidates(part) {
             return Err(Obstacle::Attempts);
         }
         self.send_extra(now, part, Reason::Late, context, actions)
     }
 
-    /// Sends a part whose sends have all ended to another leaf, or gives it up.
+    /// Sends a part whose sends have all ended once more, lets it wait for a leaf, or gives it
+    /// up. Leafs that reject requests at random, or are full for a moment, often take the part
+    /// a little later, so a part that no leaf can take yet isn't given up before `place_by`.
     fn resend(
         &mut self,
         now: Time,
@@ -494,15 +546,22 @@
         let may_repeat = self.route.idempotent || !state.may_have_run;
         let obstacle = if !may_repeat {
             Err(Obstacle::MayHaveRun)
-        } else if !self.has_attempts_left(part) {
+        } else if !self.has_candidates(part) {
             Err(Obstacle::Attempts)
-        } else if state.attempts == 0 {
+        } else if state.leaf_count() == 0 {
             self.send_or_wait(now, part, context, actions);
             return;
         } else {
             self.send_extra(now, part, Reason::Failed, context, actions)
         };
-        self.parts[part].given_up = obstacle.err().map(|obstacle| (now, obstacle));
+        let Err(obstacle) = obstacle else { return };
+        let state = &mut self.parts[part];
+        let search_at = now + RESEND_INTERVAL;
+        if obstacle.may_pass() && search_at < self.place_by {
+            state.search_at = Some(search_at);
+        } else {
+            state.given_up = Some((now, obstacle));
+        }
     }
 
     /// Finishes the request if its answer is known: enough parts are answered, the deadline
--- a/crates/dispatch/src/flight/part.rs
+++ b/crates/dispatch/src/flight/part.rs
@@ -39,13 +39,24 @@
     MayHaveRun,
     /// The route's attempts are used up.
     Attempts,
-    /// No leaf can take it in time.
+    /// There is no leaf that could take it in time.
     NoLeaf,
+    /// The leafs that could take it are all in use or paused for now.
+    LeafsBusy,
     /// The budget of extra sends is exhausted.
     Budget,
 }
 
 impl Obstacle {
+    /// Whether the part may be sent once some time has passed.
+    #[must_use]
+    pub const fn may_pass(self) -> bool {
+        match self {
+            Obstacle::LeafsBusy | Obstacle::Budget => true,
+            Obstacle::MayHaveRun | Obstacle::Attempts | Obstacle::NoLeaf => false,
+        }
+    }
+
     /// Returns the name that is written to the log.
     #[must_use]
     pub const fn name(self) -> &'static str {
@@ -53,6 +64,7 @@
             Obstacle::MayHaveRun => "may_have_run",
             Obstacle::Attempts => "attempts",
             Obstacle::NoLeaf => "no_leaf",
+            Obstacle::LeafsBusy => "leafs_busy",
             Obstacle::Budget => "budget",
         }
     }
@@ -115,6 +127,16 @@
     pub(super) fn is_open(&self) -> bool {
         self.completion.is_none()
     }
+
+    /// Whether the leaf stated that it didn't run the part.
+    fn is_rejected(&self) -> bool {
+        matches!(self.completion, Some((_, Completion::NotRun)))
+    }
+
+    /// Whether the part reached the leaf, or may have.
+    fn may_have_arrived(&self) -> bool {
+        !matches!(self.completion, Some((_, Completion::Unsent)))
+    }
 }
 
 /// One part of a request.
@@ -122,8 +144,6 @@
 pub(super) struct Part {
     pub(super) service: id::Name,
     pub(super) sends: Vec<Send>,
-    /// Number of sends that reached a leaf or may have.
-    pub(super) attempts: usize,
     /// Number of sends that reached no leaf.
     pub(super) unsent: usize,
     /// When the part counts as late and is hedged.
@@ -148,7 +168,6 @@
         Part {
             service,
             sends: Vec::new(),
-            attempts: 0,
             unsent: 0,
             late_at: None,
             search_at: None,
@@ -173,10 +192,32 @@
         self.sends.iter().any(Send::is_open)
     }
 
+    /// Returns the number of leafs that the part reached or may have reached.
+    pub(super) fn leaf_count(&self) -> usize {
+        let arrived = self.sends.iter().filter(|send| send.may_have_arrived());
+        let mut leafs: Vec<Key> = arrived.map(|send| send.leaf).collect();
+        leafs.sort_unstable();
+        leafs.dedup();
+        leafs.len()
+    }
+
+    /// Returns the number of times that a leaf rejected the part without running it.
+    pub(super) fn rejections(&self) -> usize {
+        self.sends.iter().filter(|send| send.is_rejected()).count()
+    }
+
+    /// Returns the leafs that only ever rejected the part.
+    pub(super) fn rejecting_leafs(&self) -> Vec<Key> {
+        let others = || self.sends.iter().filter(|send| !send.is_rejected());
+        let rejected = self.sends.iter().filter(|send| send.is_rejected()).map(|send| send.leaf);
+        rejected.filter(|leaf| others().all(|other| other.leaf != *leaf)).collect()
+    }
+
     /// Records how the send to a leaf ended.
     pub(super) fn record_outcome(&mut self, now: Time, leaf: Key, outcome: Outcome) {
         let completion = Completion::from(&outcome);
-        if let Some(send) = self.sends.iter_mut().find(|send| send.leaf == leaf) {
+        let sends = self.sends.iter_mut();
+        if let Some(send) = sends.filter(|send| send.is_open()).find(|send| send.leaf == leaf) {
             send.completion = Some((now, completion));
         }
         match outcome {
@@ -190,10 +231,7 @@
             }
             Outcome::Unknown => self.may_have_run = true,
             Outcome::NotRun => {}
-            Outcome::Unsent => {
-                self.attempts = self.attempts.saturating_sub(1);
-                self.unsent += 1;
-            }
+            Outcome::Unsent => self.unsent += 1,
         }
     }
 
--- a/crates/dispatch/tests/suite/overload.rs
+++ b/crates/dispatch/tests/suite/overload.rs
@@ -15,6 +15,7 @@
         shards,
         leafs: 2,
         service_time,
+        rejection_share: |_| 0.0,
         rate: 100.0,
         duration: Duration::from_secs(20),
         seed,
@@ -63,3 +64,31 @@
         assert_eq!(outcomes.in_time, outcomes.queries, "seed {seed}: {outcomes:?}");
     }
 }
+
+/// One of the two leafs of each shard rejects half of its parts. The other one alone has three
+/// slots, so it can serve 300 queries per second while 100 arrive.
+#[test]
+fn queries_are_answered_while_half_of_the_leafs_reject_parts() {
+    for seed in 1..=5 {
+        let rejection_share = |leaf| if leaf == 0 { 0.5 } else { 0.0 };
+        let plan = Plan { rejection_share, ..plan(healthy, seed) };
+
+        let outcomes = Run::simulate(plan);
+
+        assert_eq!(outcomes.failed, 0, "seed {seed}: {outcomes:?}");
+        assert!(outcomes.in_time >= outcomes.queries * 99 / 100, "seed {seed}: {outcomes:?}");
+    }
+}
+
+/// The budget allows an extra send for each fifth part, and each part needs 0.18 on average.
+#[test]
+fn queries_are_answered_while_all_leafs_reject_parts() {
+    for seed in 1..=5 {
+        let plan = Plan { rejection_share: |_| 0.15, ..plan(healthy, seed) };
+
+        let outcomes = Run::simulate(plan);
+
+        assert_eq!(outcomes.failed, 0, "seed {seed}: {outcomes:?}");
+        assert!(outcomes.in_time >= outcomes.queries * 99 / 100, "seed {seed}: {outcomes:?}");
+    }
+}
--- a/src/ops/explain/render.rs
+++ b/src/ops/explain/render.rs
@@ -192,6 +192,7 @@
         "may_have_run" => "it may have run and must not run twice",
         "attempts" => "the route allows no further attempts",
         "no_leaf" => "no leaf had capacity in time",
+        "leafs_busy" => "the leafs that could take it were in use or paused",
         "budget" => "the budget for extra sends was exhausted",
         other => other,
     }
@@ -284,7 +285,8 @@
     steps: &dyn Fn(&str, &str, &str) -> usize,
 ) -> Option<String> {
     let withheld = steps("not_resent", "why", "budget");
-    let no_leaf = steps("not_resent", "why", "no_leaf") + steps("given_up", "why", "no_leaf");
+    let unplaced = |event: &str| steps(event, "why", "no_leaf") + steps(event, "why", "leafs_busy");
+    let no_leaf = unplaced("not_resent") + unplaced("given_up");
     let unanswered = unanswered(history);
     let is_whole = end.text("outcome") == "success" || end.number("detail") == 0;
     if is_whole && end.number("waited_ms") * 2 > end.number("took_ms") {
