Tell from logs where service was lost

Requests without a line of their own are told from the nodes' summaries.

For it, the line of an answer states the objective of its route, and a refused request logs which parts had no leaf; before, its line named all parts as missing.

--- a/crates/dispatch/src/flight.rs
+++ b/crates/dispatch/src/flight.rs
@@ -260,6 +260,7 @@
                 placements.iter().filter(|placement| self.may_get_leaf(placement)).count();
             if candidates < self.min_answers.max(1) || now >= self.admit_by {
                 self.admitted_at = Some(now);
+                self.give_up_unplaced(now, &placements);
                 return self.finish(Answer::Refused { retry_after: retry_delay(now, &placements) });
             }
             let times = placements.iter().filter_map(|placement| match placement {
@@ -280,6 +281,17 @@
         actions
     }
 
+    /// Records which parts had no leaf when the request was refused.
+    fn give_up_unplaced(&mut self, now: Time, placements: &[Placement]) {
+        for (part, placement) in self.parts.iter_mut().zip(placements) {
+            part.given_up = match placement {
+                Placement::Leaf(_) => None,
+                Placement::Queue(_) | Placement::Later(_) => Some((now, Obstacle::LeafsBusy)),
+                Placement::NoLeaf => Some((now, Obstacle::NoLeaf)),
+            };
+        }
+    }
+
     /// Whether a part may get a leaf before admission ends.
     fn may_get_leaf(&self, placement: &Placement) -> bool {
         match placement {
--- a/src/bin/jacinthfall/main.rs
+++ b/src/bin/jacinthfall/main.rs
@@ -13,6 +13,7 @@
 mod addresses;
 mod completion;
 mod explain;
+mod losses;
 mod options;
 mod profile;
 mod query;
@@ -32,6 +33,7 @@
     trace ID           show what happened to a request
     explain ID [FILE...]
                        explain from logs why a request ended as it did
+    losses [FILE...]   tell from logs where service was lost, and why
     top IP:PORT...     show current rates of gateway nodes
     report [FILE...]   plot the logs of gateway nodes as a page
     addresses          list the addresses that callers should use
@@ -59,10 +61,11 @@
 }
 
 /// All subcommands.
-const COMMANDS: [Entry; 10] = [
+const COMMANDS: [Entry; 11] = [
     Entry { name: "query", run: query::run, words: &[] },
     Entry { name: "trace", run: trace::run, words: &[] },
     Entry { name: "explain", run: explain::run, words: &[] },
+    Entry { name: "losses", run: losses::run, words: &[] },
     Entry { name: "top", run: top::run, words: &[] },
     Entry { name: "report", run: report::run, words: &[] },
     Entry { name: "addresses", run: addresses::run, words: &[] },
--- a/src/gateway/audit/lines.rs
+++ b/src/gateway/audit/lines.rs
@@ -55,8 +55,8 @@
     let tally = request.tally;
     lines.push(format!(
         "event=answer id={:?} route={} outcome={} detail={} took_ms={} waited_ms={} parts={} \
-         done={} dead={} extra={} missing=[{}] deadline_ms={} spent_ms={} version={} upto={} \
-         known_ms={} steps_left_out={skipped} passed_over={passed_over}",
+         done={} dead={} extra={} missing=[{}] objective_ms={} deadline_ms={} spent_ms={} \
+         version={} upto={} known_ms={} steps_left_out={skipped} passed_over={passed_over}",
         header_text(request.id),
         request.route.name,
         outcome.name,
@@ -68,6 +68,7 @@
         tally.given_up,
         tally.extra_sends,
         format_missing(&tables, request.flight),
+        request.route.objective.as_millis(),
         request.deadline.since(request.arrived).as_millis(),
         request.spent.as_millis(),
         request.version,
--- a/src/ops/explain/mod.rs
+++ b/src/ops/explain/mod.rs
@@ -8,7 +8,7 @@
 mod render;
 
 pub use line::Line;
-pub use logs::Logs;
+pub use logs::{Logs, for_each_line};
 pub use render::render;
 
 /// How long before the arrival of a request lines about its leafs are included, in
--- /dev/null
+++ b/src/ops/losses/cause.rs
@@ -0,0 +1,143 @@
+//! Why a request wasn't served completely and in time.
+
+use serde::Serialize;
+
+use crate::ops::explain::Line;
+
+/// Cause of a loss, as far as the lines about a request show it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    /// A shard had no leaf that could take a part in time.
+    NoLeaf,
+    /// The leafs that could take a part were in use or paused.
+    LeafsBusy,
+    /// A leaf was slow, as was expected when it was chosen.
+    SlowLeaf,
+    /// A leaf was slower than expected when it was chosen.
+    LeafSlowerThanExpected,
+    /// A leaf could not be reached, or accepted no further connection.
+    Unreached,
+    /// A leaf failed, or rejected the part.
+    LeafFailed,
+    /// The request waited for free leafs.
+    Admission,
+    /// The caller had spent the time on an earlier attempt.
+    EarlierAttempt,
+    /// The route allowed no further attempt.
+    Attempts,
+    /// The budget of extra sends was exhausted.
+    Budget,
+    /// The request may have run and must not run twice.
+    MayHaveRun,
+    /// The node had just started.
+    NodeStarting,
+    /// The request was not acceptable.
+    Rejected,
+    /// The lines don't show it.
+    Unknown,
+}
+
+impl Cause {
+    /// Returns the name that is printed.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Cause::NoLeaf => "no leaf",
+            Cause::LeafsBusy => "leafs busy",
+            Cause::SlowLeaf => "slow leaf",
+            Cause::LeafSlowerThanExpected => "leaf slower than expected",
+            Cause::Unreached => "leaf not reached",
+            Cause::LeafFailed => "leaf failed",
+            Cause::Admission => "admission",
+            Cause::EarlierAttempt => "earlier attempt",
+            Cause::Attempts => "attempts",
+            Cause::Budget => "budget",
+            Cause::MayHaveRun => "may have run",
+            Cause::NodeStarting => "node starting",
+            Cause::Rejected => "not acceptable",
+            Cause::Unknown => "unknown",
+        }
+    }
+
+    /// Returns the cause of a refusal or failure from the lines about its parts.
+    pub(super) fn of_failure(steps: &[Line]) -> Cause {
+        let given_up = steps.iter().rev().find(|step| step.event == "given_up");
+        match given_up.map(|step| step.text("why")) {
+            Some(why) => Cause::from_obstacle(why),
+            None => Cause::of_slowest(steps),
+        }
+    }
+
+    /// Returns the cause of a late answer.
+    pub(super) fn of_lateness(steps: &[Line], answer: &Line) -> Cause {
+        let took = answer.number("took_ms");
+        if took <= answer.number("objective_ms") {
+            return Cause::EarlierAttempt;
+        }
+        if answer.number("waited_ms") * 2 > took {
+            return Cause::Admission;
+        }
+        Cause::of_slowest(steps)
+    }
+
+    /// Returns the cause why a shard is missing from an answer.
+    pub(super) fn of_missing_part(steps: &[Line], service: &str) -> Cause {
+        let own: Vec<&Line> = steps.iter().filter(|step| step.text("service") == service).collect();
+        let obstacle =
+            own.iter().rev().find(|step| matches!(step.event.as_str(), "given_up" | "not_resent"));
+        if let Some(step) = obstacle
+            && step.event == "given_up"
+        {
+            return Cause::from_obstacle(step.text("why"));
+        }
+        let responses = own.iter().rev().filter(|step| step.event == "response");
+        match responses.map(|step| step.text("result")).next() {
+            Some("unsent") => Cause::Unreached,
+            Some("failure" | "not_run" | "unknown") => Cause::LeafFailed,
+            _ => Cause::of_send(own.iter().rev().find(|step| step.event == "send").copied(), None),
+        }
+    }
+
+    /// Returns why the part that was answered last took so long.
+    fn of_slowest(steps: &[Line]) -> Cause {
+        let is_success =
+            |step: &&Line| step.event == "response" && step.text("result") == "success";
+        let last = steps.iter().filter(is_success).max_by_key(|step| step.number("at_ms"));
+        let Some(last) = last else { return Cause::Unknown };
+        let send = steps.iter().find(|step| {
+            step.event == "send"
+                && step.text("service") == last.text("service")
+                && step.text("leaf") == last.text("leaf")
+        });
+        Cause::of_send(send, Some(last))
+    }
+
+    /// Compares what was expected of a leaf with when it answered, if it did.
+    fn of_send(send: Option<&Line>, response: Option<&Line>) -> Cause {
+        let Some(send) = send else { return Cause::Unknown };
+        let expected = send.number("expected_ms");
+        let took = response.map(|response| response.number("at_ms") - send.number("at_ms"));
+        match took {
+            Some(took) if took <= 2 * expected => Cause::SlowLeaf,
+            Some(_) => Cause::LeafSlowerThanExpected,
+            None if expected >= SLOW_MS => Cause::SlowLeaf,
+            None => Cause::LeafSlowerThanExpected,
+        }
+    }
+
+    fn from_obstacle(why: &str) -> Cause {
+        match why {
+            "no_leaf" => Cause::NoLeaf,
+            "leafs_busy" => Cause::LeafsBusy,
+            "attempts" => Cause::Attempts,
+            "budget" => Cause::Budget,
+            "may_have_run" => Cause::MayHaveRun,
+            _ => Cause::Unknown,
+        }
+    }
+}
+
+/// Expected response time from which a leaf that didn't answer counts as one that was known to
+/// be slow, in milliseconds.
+const SLOW_MS: i64 = 80;
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -17,6 +17,7 @@
 pub mod event;
 pub mod explain;
 pub mod gateway;
+pub mod losses;
 pub mod metrics;
 pub mod node;
 pub mod profile;
