--- a/src/ops/losses/mod.rs
+++ b/src/ops/losses/mod.rs
@@ -235,16 +235,22 @@
 /// Returns how the request of an answer was lost; `None` if it was served completely and in
 /// time, or its caller left.
 fn loss(answer: &Line) -> Option<Loss> {
-    let total = answer.number("took_ms") + answer.number("spent_ms");
     match answer.text("outcome") {
         "refused" => Some(Loss::Refused),
         "failed" | "leaf_failure" => Some(Loss::Failed),
         "merged" if answer.number("detail") > 0 => Some(Loss::Partial),
-        "merged" | "success" if total > answer.number("objective_ms") => Some(Loss::Late),
+        "merged" | "success" if is_late(answer) => Some(Loss::Late),
         _ => None,
     }
 }
 
+/// Whether an answer came after the objective of its route, which nodes of earlier releases
+/// don't log.
+fn is_late(answer: &Line) -> bool {
+    let total = answer.number("took_ms") + answer.number("spent_ms");
+    answer.get("objective_ms").is_some() && total > answer.number("objective_ms")
+}
+
 /// Returns the services in the list of parts without an answer.
 fn missing_services(answer: &Line) -> Vec<&str> {
     let parts = answer.text("missing").split_whitespace();
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -127,3 +127,12 @@
     assert_eq!((report.unreadable, report.rows.len()), (2, 1));
     assert!(render(&report).contains("2 unreadable lines"));
 }
+
+#[test]
+fn answers_of_nodes_that_log_no_objective_do_not_count_as_late() {
+    let fields = "event=answer id=\"r\" route=sweep outcome=merged detail=0 took_ms=900 spent_ms=0";
+
+    let report = read(&[("n-1", &line(1, fields))]);
+
+    assert!(report.rows.is_empty(), "{report:?}");
+}
