Move the pool of connections to leafs to a module of its own

hub and leafs imported each other: the hub holds the pool, which stood beside the code that needs the hub. The pool and the opening of connections are in pool.rs now, which needs neither; the hub says which locks there are and which may be taken together.

--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -1,6 +1,8 @@
 //! State that the tasks of a gateway node share.
 //!
-//! [`Hub`] holds it all; [`Tables`], behind its lock, is what decisions depend on.
+//! [`Hub`] holds it all; [`Tables`], behind its lock, is what decisions depend on. Two parts
+//! have locks of their own: the pool for connections to leafs, and the audit for its counts and
+//! retained lines. Of these, only the lock of the pool may be taken while the tables are locked.
 //! [`maintain`] removes expired entries in the background.
 
 use std::collections::{HashMap, HashSet};
@@ -26,7 +28,7 @@
 use tokio::sync::Notify;
 
 use super::audit::Audit;
-use super::leafs::Pool;
+use super::pool::{self, DEFAULT_IDLE_TIMEOUT, Pool};
 use super::settings::Settings;
 use crate::util::lock::lock;
 
@@ -360,7 +362,7 @@
             self.pool.close(key);
         }
         for (key, address) in unconnected {
-            tokio::spawn(super::leafs::preconnect(Arc::clone(self), key, address));
+            tokio::spawn(preconnect(Arc::clone(self), key, address));
         }
         self.serve_if_ready();
     }
@@ -386,6 +388,15 @@
     }
 }
 
+/// Opens the first connection to a leaf, so that no request has to wait for it.
+async fn preconnect(hub: Arc<Hub>, key: Key, address: SocketAddr) {
+    if let Some(permit) = hub.pool.reserve(key, 1)
+        && let Ok(sender) = pool::dial(address, permit).await
+    {
+        hub.pool.put_idle(key, sender, hub.now(), DEFAULT_IDLE_TIMEOUT);
+    }
+}
+
 /// Periodically removes expired nodes, leafs and connections, updates the number of active
 /// nodes, and logs summaries.
 pub async fn maintain(hub: Arc<Hub>) {
--- a/src/gateway/leafs.rs
+++ b/src/gateway/leafs.rs
@@ -1,9 +1,7 @@
-//! HTTP/1.1 client for leafs: a connection pool with one request at a time on each
-//! connection, and the classification of responses.
+//! HTTP/1.1 client for leafs: one request at a time on each connection, and the classification
+//! of responses. `pool` holds the connections.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,40 +9,22 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use jacinthfall_adapter::header;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::fleet::{Ending, Key, Report};
 use jacinthfall_dispatch::flight::{Outcome, Reply};
-use jacinthfall_net::stream;
 use metrics::counter;
-use tokio::sync::Notify;
 use tokio::time::timeout_at;
 
 use super::hub::Hub;
-use crate::util::lock::lock;
-
-/// Maximum time to open a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+use super::pool::{self, DEFAULT_IDLE_TIMEOUT, Sender};
 
 /// Maximum time that a request waits for a connection.
 const MAX_CONNECTION_WAIT: Duration = Duration::from_millis(15);
 
-/// Idle timeout of connections to leafs that don't state one.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// Time before a leaf's idle timeout from which on a connection is no longer used.
 const IDLE_MARGIN: Duration = Duration::from_millis(400);
 
-/// Idle time after which a connection is closed if there is another idle one to the same
-/// leaf. Leafs limit the connections of all nodes together, including those of nodes that
-/// lost power.
-const MAX_SURPLUS_IDLE: Duration = Duration::from_millis(1_000);
-
-/// Time after connecting within which a leaf that has too many connections resets a new one.
-const RESET_WINDOW: Duration = Duration::from_millis(4);
-
 /// Maximum size of a response body of a leaf, in bytes.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
@@ -61,8 +41,6 @@
     "expect",
 ];
 
-type Sender = http1::SendRequest<Full<Bytes>>;
-
 /// A caller's request in the form in which it is forwarded.
 #[derive(Debug)]
 pub struct Outbound {
@@ -103,161 +81,6 @@
     headers.remove(CONTENT_LENGTH);
 }
 
-/// A connection that isn't in use.
-#[derive(Debug)]
-struct Idle {
-    sender: Sender,
-    /// When it was last used.
-    last_used: Time,
-    /// When it must no longer be used.
-    expires: Time,
-}
-
-/// Connections to one leaf.
-#[derive(Debug, Default)]
-struct Connections {
-    idle: Vec<Idle>,
-    /// Number of connections, idle ones included.
-    open: usize,
-    /// Notified when a connection becomes idle or is closed.
-    released: Arc<Notify>,
-}
-
-/// Pool of the connections to all leafs.
-#[derive(Debug, Default)]
-pub struct Pool {
-    leafs: Arc<Mutex<HashMap<Key, Connections>>>,
-}
-
-/// Counts a connection as open until it is dropped.
-#[derive(Debug)]
-struct Permit {
-    leafs: Arc<Mutex<HashMap<Key, Connections>>>,
-    key: Key,
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        let mut leafs = lock(&self.leafs);
-        if let Some(connections) = leafs.get_mut(&self.key) {
-            connections.open = connections.open.saturating_sub(1);
-            connections.released.notify_one();
-            if connections.open == 0 && connections.idle.is_empty() {
-                leafs.remove(&self.key);
-            }
-        }
-    }
-}
-
-impl Pool {
-    /// Whether there is any connection to a leaf.
-    #[must_use]
-    pub fn is_open(&self, key: Key) -> bool {
-        lock(&self.leafs).get(&key).is_some_and(|connections| connections.open > 0)
-    }
-
-    /// Closes the idle connections to a leaf.
-    pub fn close(&self, key: Key) {
-        let mut leafs = lock(&self.leafs);
-        let idle = leafs.get_mut(&key).map(|connections| std::mem::take(&mut connections.idle));
-        if leafs.get(&key).is_some_and(|connections| connections.open == 0) {
-            leafs.remove(&key);
-        }
-        drop(leafs);
-        drop(idle);
-    }
-
-    /// Closes the idle connections that have expired, are surplus or were closed by the leaf.
-    pub fn expire(&self, now: Time) {
-        let mut expired = Vec::new();
-        for connections in lock(&self.leafs).values_mut() {
-            let newest = connections.idle.len().saturating_sub(1);
-            let mut kept = Vec::with_capacity(connections.idle.len());
-            for (position, idle) in std::mem::take(&mut connections.idle).into_iter().enumerate() {
-                let surplus = position < newest && now.since(idle.last_used) > MAX_SURPLUS_IDLE;
-                if surplus || idle.expires <= now || idle.sender.is_closed() {
-                    expired.push(idle);
-                } else {
-                    kept.push(idle);
-                }
-            }
-            connections.idle = kept;
-        }
-        drop(expired);
-    }
-
-    /// Takes the most recently used idle connection to a leaf, if there is one.
-    fn pop_idle(&self, key: Key, now: Time) -> Option<Sender> {
-        let mut leafs = lock(&self.leafs);
-        let connections = leafs.get_mut(&key)?;
-        while let Some(idle) = connections.idle.pop() {
-            if idle.expires > now && idle.sender.is_ready() {
-                return Some(idle.sender);
-            }
-        }
-        None
-    }
-
-    /// Reserves a new connection to a leaf, unless `limit` connections to it are open.
-    fn reserve(&self, key: Key, limit: usize) -> Option<Permit> {
-        let mut leafs = lock(&self.leafs);
-        let connections = leafs.entry(key).or_default();
-        if connections.open >= limit {
-            return None;
-        }
-        connections.open += 1;
-        Some(Permit { leafs: Arc::clone(&self.leafs), key })
-    }
-
-    /// Returns a connection to the pool, for `idle` at most.
-    fn put_idle(&self, key: Key, sender: Sender, now: Time, idle: Duration) {
-        let mut leafs = lock(&self.leafs);
-        if let Some(connections) = leafs.get_mut(&key) {
-            connections.idle.push(Idle { sender, last_used: now, expires: now + idle });
-            connections.released.notify_one();
-        }
-    }
-
-    fn released(&self, key: Key) -> Arc<Notify> {
-        Arc::clone(&lock(&self.leafs).entry(key).or_default().released)
-    }
-}
-
-/// Opens the first connection to a leaf, so that no request has to wait for it.
-pub async fn preconnect(hub: Arc<Hub>, key: Key, address: SocketAddr) {
-    if let Some(permit) = hub.pool.reserve(key, 1)
-        && let Ok(sender) = dial(address, permit).await
-    {
-        hub.pool.put_idle(key, sender, hub.now(), DEFAULT_IDLE_TIMEOUT);
-    }
-}
-
-/// Opens a connection, or returns why the leaf didn't accept one.
-async fn dial(address: SocketAddr, permit: Permit) -> Result<Sender, Ending> {
-    let sender = connect(address, permit).await.map_err(|error| {
-        log::debug!("can't connect to the leaf at {address}: {error}");
-        Ending::Unreachable
-    })?;
-    tokio::time::sleep(RESET_WINDOW).await;
-    if sender.is_closed() { Err(Ending::Crowded) } else { Ok(sender) }
-}
-
-async fn connect(
-    address: SocketAddr,
-    permit: Permit,
-) -> Result<Sender, Box<dyn std::error::Error + Send + Sync>> {
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, stream::connect(address)).await??;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!("connection to a leaf failed: {error}");
-        }
-        drop(permit);
-    });
-    sender.ready().await?;
-    Ok(sender)
-}
-
 /// Returns an idle or new connection to a leaf, or why there is none.
 async fn acquire(hub: &Hub, key: Key, address: SocketAddr, limit: usize) -> Result<Sender, Ending> {
     let give_up_at = hub.instant(hub.now() + MAX_CONNECTION_WAIT);
@@ -266,7 +89,7 @@
             return Ok(sender);
         }
         if let Some(permit) = hub.pool.reserve(key, limit) {
-            return dial(address, permit).await;
+            return pool::dial(address, permit).await;
         }
         let released = hub.pool.released(key);
         timeout_at(give_up_at, released.notified()).await.map_err(|_| Ending::Busy)?;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,7 +4,8 @@
 //! on one thread: the VMs of gateway nodes have a fraction of one core, and a thread switch for each part
 //! of a query would cost more than the part itself.
 //!
-//! [`callers`] serves the requests of callers and [`leafs`] sends them to leafs. [`store`]
+//! [`callers`] serves the requests of callers and [`leafs`] sends them to leafs
+//! over the connections of [`pool`]. [`store`]
 //! follows the platform's store, and [`peers`] exchanges data with the other nodes.
 //! [`addresses`] serves the address lookup, readiness and metrics; [`audit`] writes the log
 //! lines about requests. The tasks share the state in [`hub`]. Decisions are made in
@@ -18,6 +19,7 @@
 pub mod listener;
 pub mod metrics;
 pub mod peers;
+pub mod pool;
 pub mod settings;
 pub mod stop;
 pub mod store;
