--- a/src/ops/losses/cause.rs
+++ b/src/ops/losses/cause.rs
@@ -4,6 +4,10 @@
 
 use crate::ops::explain::Line;
 
+/// Expected response time from which a leaf that didn't answer counts as one that was known to
+/// be slow, in milliseconds.
+const SLOW_MS: i64 = 80;
+
 /// Cause of a loss, as far as the lines about a request show it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -137,7 +141,3 @@
         }
     }
 }
-
-/// Expected response time from which a leaf that didn't answer counts as one that was known to
-/// be slow, in milliseconds.
-const SLOW_MS: i64 = 80;
