Count no requests from before the window toward the retry budget

The window consists of whole intervals, so requests of up to 10.5 s were counted. That shows where leafs begin to reject and all that is allowed is sent within 10 s.

Change: the requests of the oldest interval no longer count, its extra sends still do.

The new test fails without the change.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -78,7 +78,9 @@
         let constant = self.limit.floor / (2 * self.nodes) as f64;
         let ratio = self.limit.ratio;
         let window = self.window(now, service);
-        let requests: u32 = window.requests.iter().sum();
+        // The oldest interval lies outside of the window, up to its last moment. Its requests
+        // don't count any more, while its extra sends still do.
+        let requests: u32 = window.requests.iter().rev().skip(1).sum();
         let extras: u32 = window.extras.iter().sum();
         constant + ratio * f64::from(requests) - f64::from(extras)
     }
--- a/crates/dispatch/tests/suite/budget.rs
+++ b/crates/dispatch/tests/suite/budget.rs
@@ -52,6 +52,32 @@
     assert!(extras as f64 <= 0.2 * f64::from(requests) + 156.0, "{extras}");
 }
 
+/// Requests arrive at a steady rate, and from 20 s on all leafs reject, so that the budget is
+/// exhausted at once and stays so.
+#[test]
+fn extra_sends_in_any_window_stay_within_the_ratio_of_its_requests() {
+    let mut budget = Budget::open(Limit { floor: 0.0, ..LIMIT }, 1);
+    let (mut requests, mut extras) = (Vec::new(), Vec::new());
+
+    for millisecond in 0..40_000 {
+        let now = Time::from_millis(millisecond);
+        if millisecond % 5 == 0 {
+            budget.record_request(now, &service());
+            requests.push(now);
+        }
+        if millisecond >= 20_000 && budget.try_acquire(now, &service()) {
+            extras.push(now);
+        }
+    }
+
+    for end in &extras {
+        let within = |at: &&Time| **at <= *end && end.since(**at) < LIMIT.window;
+        let (sent, requested) =
+            (extras.iter().filter(within).count(), requests.iter().filter(within).count());
+        assert!(sent as f64 <= 0.2 * requested as f64 + 1.0, "{sent} of {requested} at {end:?}");
+    }
+}
+
 proptest! {
     /// Extra sends of all nodes together stay within the limit in any window, even if all
     /// nodes restart once and lose their counts.
