Log the size of configurations and how far failed exchanges got

It now says how many bytes had arrived, when the latest did, what this node already knew, and there is a histogram of the time of exchanges. A configuration that is put in force says its size and the time to decode it.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -3,13 +3,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use h2::Ping;
 use h2::client::{Builder, SendRequest};
+use h2::{Ping, RecvStream};
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 use crate::{Error, MAX_BODY_BYTES};
 
@@ -40,6 +42,43 @@
     pub body: Bytes,
 }
 
+/// Limits on the wait for a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Maximum time without a byte of the response.
+    pub silence: Duration,
+    /// Maximum time until the response is complete.
+    pub total: Duration,
+}
+
+/// How far a response has arrived.
+struct Progress {
+    limits: Limits,
+    started: Instant,
+    /// When its latest bytes arrived, or the request was made.
+    last: Instant,
+    /// Bytes of the body that have arrived.
+    received: usize,
+}
+
+impl Progress {
+    fn open(limits: Limits) -> Progress {
+        let now = Instant::now();
+        Progress { limits, started: now, last: now, received: 0 }
+    }
+
+    /// Waits for the next step of the response, as far as the limits allow.
+    async fn wait<T>(&mut self, step: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
+        let left = self.limits.total.saturating_sub(self.started.elapsed());
+        let Ok(result) = timeout(left.min(self.limits.silence), step).await else {
+            let (after, silent) = (self.started.elapsed(), self.last.elapsed());
+            return Err(Error::Timeout { received: self.received, silent, after });
+        };
+        self.last = Instant::now();
+        result
+    }
+}
+
 impl Client {
     /// Connects to `address` and waits for a ping round trip.
     ///
@@ -96,13 +135,44 @@
         headers: &[(&'static str, HeaderValue)],
         body: Bytes,
     ) -> Result<Response, Error> {
+        let (head, mut incoming) = self.send(path, headers, body).await?;
+        let body = read_body(&mut incoming).await?;
+        Ok(Response { status: head.status, headers: head.headers, body })
+    }
+
+    /// Sends a POST request and waits for the complete response, within limits.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`]; [`Error::Timeout`] if a limit is exceeded.
+    pub async fn post_within(
+        &self,
+        path: &str,
+        headers: &[(&'static str, HeaderValue)],
+        body: Bytes,
+        limits: Limits,
+    ) -> Result<Response, Error> {
+        let mut progress = Progress::open(limits);
+        let (head, mut incoming) = progress.wait(self.send(path, headers, body)).await?;
+        let mut body = BytesMut::new();
+        while progress.wait(read_chunk(&mut incoming, &mut body)).await? {
+            progress.received = body.len();
+        }
+        Ok(Response { status: head.status, headers: head.headers, body: body.freeze() })
+    }
+
+    /// Sends a POST request and waits for the head of the response.
+    async fn send(
+        &self,
+        path: &str,
+        headers: &[(&'static str, HeaderValue)],
+        body: Bytes,
+    ) -> Result<(http::response::Parts, RecvStream), Error> {
         let request = self.request(path, headers)?;
         let mut sender = self.sender.clone().ready().await.map_err(to_unsent)?;
         let (response, mut stream) = sender.send_request(request, false).map_err(to_unsent)?;
         stream.send_data(body, true).map_err(to_error)?;
-        let (head, mut incoming) = response.await.map_err(to_error)?.into_parts();
-        let body = read_body(&mut incoming).await?;
-        Ok(Response { status: head.status, headers: head.headers, body })
+        Ok(response.await.map_err(to_error)?.into_parts())
     }
 
     /// Opens a stream and sends `chunks` to the peer until the channel is closed.
@@ -162,19 +232,25 @@
 }
 
 /// Reads a body to its end, releasing flow control capacity as it goes.
-pub(crate) async fn read_body(stream: &mut h2::RecvStream) -> Result<Bytes, Error> {
+pub(crate) async fn read_body(stream: &mut RecvStream) -> Result<Bytes, Error> {
     let mut body = BytesMut::new();
-    while let Some(chunk) = stream.data().await {
-        let chunk = chunk.map_err(to_error)?;
-        if body.len() + chunk.len() > MAX_BODY_BYTES {
-            return Err(Error::TooLarge);
-        }
-        body.extend_from_slice(&chunk);
-        stream.flow_control().release_capacity(chunk.len()).map_err(to_error)?;
-    }
+    while read_chunk(stream, &mut body).await? {}
     Ok(body.freeze())
 }
 
+/// Reads the next chunk of a body and releases its flow control capacity. Returns `false` at
+/// the end of the body.
+async fn read_chunk(stream: &mut RecvStream, body: &mut BytesMut) -> Result<bool, Error> {
+    let Some(chunk) = stream.data().await else { return Ok(false) };
+    let chunk = chunk.map_err(to_error)?;
+    if body.len() + chunk.len() > MAX_BODY_BYTES {
+        return Err(Error::TooLarge);
+    }
+    body.extend_from_slice(&chunk);
+    stream.flow_control().release_capacity(chunk.len()).map_err(to_error)?;
+    Ok(true)
+}
+
 fn to_unsent(error: impl std::fmt::Display) -> Error {
     Error::Unsent(error.to_string())
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 //! only for socket I/O: handlers with CPU-bound work pass it to their own threads.
 
 use std::io;
+use std::time::Duration;
 
 use thiserror::Error;
 use tokio::runtime::{Builder, Runtime};
@@ -41,6 +42,19 @@
     /// The stream or connection broke after the request was sent.
     #[error("connection broke after sending: {0}; the peer may have processed the request")]
     Broken(String),
+    /// The response was not complete in time. The peer may have processed the request.
+    #[error(
+        "no complete response after {after:?}: {received} bytes arrived, the latest {silent:?} \
+         ago; check the load of the peer and of the link to it"
+    )]
+    Timeout {
+        /// Bytes of the body that had arrived.
+        received: usize,
+        /// Time since the latest of them.
+        silent: Duration,
+        /// Time since the request was made.
+        after: Duration,
+    },
     /// The body is larger than [`MAX_BODY_BYTES`].
     #[error("response exceeds {MAX_BODY_BYTES} bytes; request less data")]
     TooLarge,
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -313,6 +313,7 @@
         if tables.configuration.as_ref().is_some_and(|known| known.revision >= revision) {
             return;
         }
+        let started = self.now();
         let snapshot = match jacinthfall_adapter::configuration::decode(document) {
             Ok(snapshot) => snapshot,
             Err(error) => {
@@ -327,9 +328,11 @@
         let non_idempotent = snapshot.routes().filter(|route| !route.idempotent);
         let non_idempotent: Vec<&str> = non_idempotent.map(|route| &*route.name).collect();
         log::info!(
-            "event=configuration version={} revision={revision} source={source} routes={} \
-             services={} unrepeatable=[{}]",
+            "event=configuration version={} revision={revision} source={source} bytes={} \
+             decode_ms={} routes={} services={} unrepeatable=[{}]",
             snapshot.version,
+            document.len(),
+            self.now().since(started).as_millis(),
             snapshot.routes().count(),
             snapshot.services.len(),
             non_idempotent.join(" ")
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -40,6 +40,7 @@
     describe_counter!("jacinthfall_sends_total", "Sends to leafs by outcome");
     describe_counter!("jacinthfall_store_calls_total", "Calls to the store by kind and outcome");
     describe_counter!("jacinthfall_exchanges_total", "Exchanges with other nodes by outcome");
+    describe_histogram!("jacinthfall_exchange_seconds", "Time of exchanges, by outcome");
     describe_gauge!("jacinthfall_configuration_version", "Version of the configuration in force");
     describe_gauge!("jacinthfall_leafs_usable", "Leafs that may be given requests");
     describe_gauge!(
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -7,16 +7,16 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, OnceLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bincode::config::standard;
 use http::StatusCode;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::catalog::Delta;
 use jacinthfall_dispatch::roster::{Heartbeat, Node, Phase};
-use jacinthfall_net::client::Client;
+use jacinthfall_net::client::{Client, Limits};
 use jacinthfall_net::server::{Handler, Request, Response, Server};
-use metrics::counter;
+use metrics::{counter, histogram};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
@@ -41,6 +41,9 @@
 /// Maximum duration of an exchange.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Limits on the wait for the response of an exchange.
+const EXCHANGE_LIMITS: Limits = Limits { silence: EXCHANGE_TIMEOUT, total: EXCHANGE_TIMEOUT };
+
 /// Pause between two exchanges.
 const EXCHANGE_PAUSE: Duration = Duration::from_millis(150);
 
@@ -261,13 +264,23 @@
 /// Carries out the requested exchanges, one at a time.
 async fn catch_up(hub: Arc<Hub>, mut requested: mpsc::Receiver<SocketAddr>) {
     while let Some(peer) = requested.recv().await {
-        let fetched = timeout(EXCHANGE_TIMEOUT, fetch_updates(&hub, peer)).await;
-        let result = fetched.unwrap_or_else(|_| Err(format!("timeout after {EXCHANGE_TIMEOUT:?}")));
+        let started = Instant::now();
+        let result = fetch_updates(&hub, peer).await;
         let outcome = if result.is_ok() { "ok" } else { "failed" };
         counter!("jacinthfall_exchanges_total", "outcome" => outcome).increment(1);
+        histogram!("jacinthfall_exchange_seconds", "outcome" => outcome).record(started.elapsed());
         match result {
             Ok(updates) => merge_updates(&hub, updates, peer),
-            Err(error) => log::info!("event=exchange_failed peer={peer} reason=\"{error}\""),
+            Err(error) => {
+                let (upto, version) = {
+                    let tables = hub.tables();
+                    (tables.upto, tables.version())
+                };
+                log::info!(
+                    "event=exchange_failed peer={peer} upto={upto} version={version} \
+                     reason=\"{error}\""
+                );
+            }
         }
         tokio::time::sleep(EXCHANGE_PAUSE).await;
     }
@@ -277,8 +290,10 @@
     let query = Query { upto: hub.tables().upto };
     let body = bincode::serde::encode_to_vec(&query, standard());
     let body = body.map_err(|error| error.to_string())?;
-    let client = Client::open(peer).await.map_err(|error| error.to_string())?;
-    let response = client.post(EXCHANGE_PATH, &[], body.into()).await;
+    let opened = timeout(EXCHANGE_LIMITS.total, Client::open(peer)).await;
+    let opened = opened.map_err(|_| format!("not connected after {:?}", EXCHANGE_LIMITS.total))?;
+    let client = opened.map_err(|error| error.to_string())?;
+    let response = client.post_within(EXCHANGE_PATH, &[], body.into(), EXCHANGE_LIMITS).await;
     let response = response.map_err(|error| error.to_string())?;
     let decoded = bincode::serde::decode_from_slice(&response.body, standard());
     decoded.map(|(updates, _)| updates).map_err(|error| error.to_string())
