--- a/crates/testkit/src/gateway/mod.rs
+++ b/crates/testkit/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //! and nodes, and a soak test that injects random faults into such a site.
 
 pub mod leaf;
+pub mod link;
 pub mod proxy;
 pub mod site;
 pub mod soak;
--- a/crates/testkit/src/gateway/site.rs
+++ b/crates/testkit/src/gateway/site.rs
@@ -156,14 +156,20 @@
     }
 
     /// Starts a node whose settings name `store` as the store's address.
+    pub fn start_with(&mut self, store: SocketAddr) {
+        let seeds: Vec<SocketAddr> = self.nodes.iter().map(|node| node.peers).collect();
+        self.start_with_seeds(store, &seeds);
+    }
+
+    /// Starts a node that reaches the other nodes by `seeds` at first.
     ///
     /// # Panics
     ///
     /// If the node can't be started.
-    pub fn start_with(&mut self, store: SocketAddr) {
+    pub fn start_with_seeds(&mut self, store: SocketAddr, seeds: &[SocketAddr]) {
         let name = format!("node-{}", self.started);
         self.started += 1;
-        let seeds: Vec<String> = self.nodes.iter().map(|node| node.peers.to_string()).collect();
+        let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
         let settings = json!({
             "node": name,
             "zone": "z",
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,4 +9,5 @@
 mod nodes;
 mod output;
 mod soak;
+mod spread;
 mod support;
--- /dev/null
+++ b/tests/gateway/spread.rs
@@ -0,0 +1,87 @@
+//! Spread of changes between nodes over narrow links.
+
+use std::net::{SocketAddr, TcpListener};
+
+use jacinthfall_testkit::gateway::leaf::Leaf;
+use jacinthfall_testkit::gateway::link::Links;
+use jacinthfall_testkit::gateway::site::{Request, Site, route, serving_leaf, wait_for};
+use rand::SeedableRng;
+use rand::distr::{Alphanumeric, SampleString};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+
+use crate::support::serving;
+
+/// Number of routes that make a document of about one megabyte, the largest that the store takes.
+const MANY_ROUTES: usize = 4_600;
+
+/// Returns many routes with random names, and the route of the fixtures at `prefix`.
+fn many_routes(prefix: &str) -> Vec<Value> {
+    let mut rng = ChaCha8Rng::seed_from_u64(24);
+    let mut word = |length| Alphanumeric.sample_string(&mut rng, length).to_lowercase();
+    let mut routes: Vec<Value> = (0..MANY_ROUTES)
+        .map(|_| {
+            json!({
+                "name": format!("r-{}", word(8)), "host": format!("{}.example", word(7)),
+                "prefix": format!("/{}/", word(8)), "route-type": "safe", "timeout-ms": 10_000,
+                "target-latency-ms": 4_000, "priority": 1, "service": "a", "attempts": 2,
+            })
+        })
+        .collect();
+    let mut moved = route("safe");
+    moved["prefix"] = prefix.into();
+    routes.push(moved);
+    routes
+}
+
+/// Listener that accepts connections and never answers, in place of a store.
+fn silent_store() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a free port")
+}
+
+/// Starts nodes of which only the first reaches the store. The others reach each other and the
+/// first one by links of `bytes_per_second`.
+fn linked(nodes: usize, bytes_per_second: u32, leaf: &Leaf) -> (Site, Links, TcpListener) {
+    let mut site = serving(&[route("safe")], &[("i-1", "a", leaf)]);
+    let links = Links::open().expect("a runtime");
+    let first = links.add(site.nodes[0].peers, bytes_per_second).expect("a free port");
+    let silent = silent_store();
+    let store: SocketAddr = silent.local_addr().expect("an address");
+    for node in 1..nodes {
+        site.start_with_seeds(store, &[first]);
+        links.add(site.nodes[node].peers, bytes_per_second).expect("a free port");
+    }
+    (1..nodes).for_each(|node| site.wait_ready(node));
+    (site, links, silent)
+}
+
+fn status(site: &Site, node: usize, target: &str) -> u16 {
+    site.ask(node, &Request { target, ..Request::default() }).status
+}
+
+#[test]
+fn a_large_configuration_reaches_all_nodes_behind_narrow_links() {
+    let leaf = serving_leaf("i-1", b"ok");
+    let (mut site, _links, _silent) = linked(6, 500_000, &leaf);
+
+    site.configure(&many_routes("/moved/"));
+
+    wait_for("the change at all nodes", || {
+        (0..6).all(|node| status(&site, node, "/moved/1") == 200)
+    });
+}
+
+#[test]
+fn changes_of_leafs_arrive_while_a_large_configuration_is_on_its_way() {
+    let (old, new) = (serving_leaf("i-1", b"old"), serving_leaf("i-2", b"new"));
+    let (mut site, _links, _silent) = linked(2, 20_000, &old);
+    site.configure(&many_routes("/moved/"));
+    wait_for("the configuration at the first node", || status(&site, 0, "/moved/1") == 200);
+
+    site.register("i-2", "a", &new, 1, "ready");
+    site.register("i-1", "a", &old, 2, "draining");
+
+    let body = || site.ask(1, &Request::default()).body;
+    wait_for("the change of leafs at the second node", || body() == b"new");
+    assert_eq!(status(&site, 1, "/moved/1"), 404, "the configuration takes far longer");
+}
