Send the configuration from node to node in pieces, apart from leafs

Cause: an exchange between nodes carried the whole configuration beside the changes of leafs and was cut after 700 ms. All nodes of a zone asked the same few peers at once, so each transfer got a small part of the link, none was complete in time, all that had arrived was thrown away, and the next attempts added the same load again: a congestion collapse by a limit on the time of a transfer whose size has no limit. Changes of leafs were stuck behind it.

Change: heartbeats name the configuration in force, and it is fetched by itself, compressed (758 KB are 55 KB), in pieces of 64 KB. A node sends it to a few receivers at a time and tells others that it is busy; each node that has it sends it on. What has arrived is kept and may be continued at another node. An exchange is limited in silence, not in total. A node that becomes the watcher while it lacks a configuration that its revision has passed reads that key. A document that can't be put in force is fetched once, not again and again.

Why it works: a transfer makes progress whatever its size, a sender's link is shared by as few transfers as it can carry, and the number of senders grows with each that ends.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,7 +6,8 @@
 //! [`flight`] drives one request from its arrival to its answer, and [`merge`] merges the
 //! parts of a query over shards. [`split`] distributes requests over services by weight,
 //! [`caller_timeout`] estimates how long a caller has been retrying, and [`roster`] tracks
-//! the other nodes and selects those that callers may use.
+//! the other nodes and selects those that callers may use. [`transfer`] spreads a large document
+//! over the nodes.
 //!
 //! Nothing here opens a socket, reads a clock or starts a thread: the current time is an
 //! argument of every call, and sending is left to the caller.
@@ -20,3 +21,4 @@
 pub mod merge;
 pub mod roster;
 pub mod split;
+pub mod transfer;
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -86,6 +86,8 @@
     pub phase: Phase,
     /// Store revision up to which it knows all changes.
     pub upto: u64,
+    /// Store revision of its configuration in force; 0 if there is none yet.
+    pub configuration: u64,
     /// Whether the store answers its requests.
     pub store_answers: bool,
     /// Whether callers send it requests.
@@ -106,6 +108,8 @@
     pub last_heard: Option<Time>,
     /// Whether it is registered in the store.
     pub registered: bool,
+    /// Store revision of its configuration in force, according to its latest heartbeat.
+    pub configuration: u64,
     /// Whether the store answered its requests, according to its latest heartbeat.
     pub store_answers: bool,
     /// Whether callers sent it requests, according to its latest heartbeat.
@@ -140,6 +144,7 @@
             phase: Phase::Starting,
             last_heard: None,
             registered: false,
+            configuration: 0,
             store_answers: false,
             active: false,
             load: 0,
@@ -175,6 +180,7 @@
             phase: beat.phase,
             last_heard: Some(now),
             registered,
+            configuration: beat.configuration,
             store_answers: beat.store_answers,
             active: beat.active,
             load: beat.load,
@@ -274,6 +280,17 @@
         })
     }
 
+    /// Returns the nodes that have a later configuration in force than the one of a revision:
+    /// those of the own zone, or of other zones if there are none.
+    #[must_use]
+    pub fn configuration_sources(&self, now: Time, own: &Node, revision: u64) -> Vec<&Member> {
+        let later = |member: &&Member| member.configuration > revision && member.is_heard(now);
+        let sources = self.members.values().filter(later);
+        let (near, far): (Vec<&Member>, Vec<&Member>) =
+            sources.partition(|member| member.node.zone == own.zone);
+        if near.is_empty() { far } else { near }
+    }
+
     /// Returns the nodes that the next heartbeat is sent to: all nodes in a small deployment,
     /// else the successors of this node by name in its own zone, and a random sample of the
     /// others.
--- a/crates/dispatch/tests/suite/main.rs
+++ b/crates/dispatch/tests/suite/main.rs
@@ -10,3 +10,4 @@
 mod roster;
 mod support;
 mod trail;
+mod transfer;
--- a/crates/dispatch/tests/suite/roster.rs
+++ b/crates/dispatch/tests/suite/roster.rs
@@ -22,7 +22,15 @@
 }
 
 fn beat(name: &str, phase: Phase) -> Heartbeat {
-    Heartbeat { node: node(name, 1), phase, upto: 1, store_answers: true, active: true, load: 0 }
+    Heartbeat {
+        node: node(name, 1),
+        phase,
+        upto: 1,
+        configuration: 0,
+        store_answers: true,
+        active: true,
+        load: 0,
+    }
 }
 
 #[test]
@@ -251,3 +259,26 @@
 
     assert_eq!(roster.caller_addresses(late, None, "z").len(), 1);
 }
+
+#[test]
+fn a_later_configuration_comes_from_the_own_zone_if_a_node_there_has_it() {
+    let own = node("own", 1);
+    let mut roster = Roster::default();
+    let far = Node { zone: "y".into(), ..node("far", 1) };
+    roster.record_heartbeat(Time(0), &beat("behind", Phase::Serving));
+    roster.record_heartbeat(
+        Time(0),
+        &Heartbeat { node: far, configuration: 9, ..beat("far", Phase::Serving) },
+    );
+    let names = |roster: &Roster, now: Time| -> Vec<String> {
+        let sources = roster.configuration_sources(now, &own, 5);
+        sources.into_iter().map(|member| member.node.name.to_string()).collect()
+    };
+    assert_eq!(names(&roster, Time(0)), ["far"]);
+
+    let near = Heartbeat { configuration: 8, ..beat("near", Phase::Serving) };
+    roster.record_heartbeat(Time(0), &near);
+
+    assert_eq!(names(&roster, Time(0)), ["near"]);
+    assert!(names(&roster, Time(0) + SUSPECT_AFTER).is_empty());
+}
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -22,12 +22,14 @@
 use jacinthfall_dispatch::latency::Latency;
 use jacinthfall_dispatch::roster::{Node, Phase, Roster};
 use jacinthfall_dispatch::split::Selector;
+use jacinthfall_dispatch::transfer::{Edition, Slots};
 use jacinthfall_net::clock::Clock;
 use jacinthfall_route::snapshot::{Route, Snapshot};
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::sync::Notify;
 
 use super::audit::Audit;
+use super::document::Document;
 use super::pool::{self, DEFAULT_IDLE_TIMEOUT, Pool};
 use super::settings::Settings;
 use crate::util::lock::lock;
@@ -52,17 +54,30 @@
 /// start, [`MIN_ASSUMED_NODES`] applies even if fewer nodes are known.
 const NODE_COUNT_HOLD: Duration = Duration::from_secs(10);
 
+/// Time for which a node that watches the store itself waits for changes that a peer already
+/// has, before it asks the peer.
+pub const MAX_WATCH_LAG: Duration = Duration::from_millis(400);
+
 /// The configuration in force.
 #[derive(Clone, Debug)]
 pub struct Configuration {
-    /// Store revision of the document.
-    pub revision: u64,
-    /// The document as stored.
-    pub document: Bytes,
+    /// Revision of the document and the form in which it is sent to other nodes.
+    pub edition: Edition,
+    /// The document in that form.
+    pub packed: Bytes,
     /// The decoded document.
     pub snapshot: Arc<Snapshot>,
 }
 
+/// A later configuration than the one in force, which another node knows of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Expected {
+    /// Its store revision.
+    pub revision: u64,
+    /// Since when this node has been behind.
+    pub since: Time,
+}
+
 /// Measures the rate of parts over the latest `METER_TICKS` maintenance intervals.
 #[derive(Debug, Default)]
 pub struct Meter {
@@ -121,9 +136,17 @@
 pub struct Tables {
     /// The configuration in force.
     pub configuration: Option<Configuration>,
+    /// The latest configuration that exists, if it isn't in force yet.
+    pub expected: Option<Expected>,
+    /// Store revision of the latest document that was put in force or can't be; 0 if there was
+    /// none yet.
+    pub examined: u64,
+    /// Nodes that the configuration in force is being sent to.
+    pub slots: Slots,
     /// Registrations of leafs.
     pub catalog: Catalog,
-    /// Store revision up to which all changes are known; 0 if nothing is known yet.
+    /// Store revision up to which all changes are known, but for a configuration that is
+    /// expected; 0 if nothing is known yet.
     pub upto: u64,
     /// When the store, or a node whose calls the store answers, last confirmed that there are no
     /// later changes.
@@ -161,6 +184,30 @@
         self.configuration.as_ref().map_or(0, |known| known.snapshot.version)
     }
 
+    /// Returns the store revision of the configuration in force; 0 if there is none yet.
+    #[must_use]
+    pub fn configuration_revision(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |known| known.edition.revision)
+    }
+
+    /// Returns the store revision of the latest configuration that is known to exist; 0 if there
+    /// is none.
+    #[must_use]
+    pub fn latest_configuration(&self) -> u64 {
+        self.expected.map_or(self.examined, |expected| expected.revision)
+    }
+
+    /// Records that a configuration of a store revision exists. Returns `true` if it is later
+    /// than all that this node knew of.
+    fn expect_configuration(&mut self, now: Time, revision: u64) -> bool {
+        if revision <= self.latest_configuration() {
+            return false;
+        }
+        let since = self.expected.map_or(now, |expected| expected.since);
+        self.expected = Some(Expected { revision, since });
+        true
+    }
+
     /// Whether callers send requests to this node.
     #[must_use]
     pub fn is_active(&self) -> bool {
@@ -172,6 +219,32 @@
         statistics(&mut self.routes, route)
     }
 
+    /// Records that the document of a revision was received. Returns `false` if it, or a later
+    /// one, was before.
+    fn examine(&mut self, revision: u64) -> bool {
+        if revision <= self.examined {
+            return false;
+        }
+        self.examined = revision;
+        self.expected = self.expected.filter(|expected| expected.revision > revision);
+        true
+    }
+
+    /// Returns for how long a later configuration than the one in force has been known to exist.
+    #[must_use]
+    pub fn time_behind(&self, now: Time) -> Duration {
+        self.expected.map_or(Duration::ZERO, |expected| now.since(expected.since))
+    }
+
+    /// Replaces the configuration in force.
+    fn put_in_force(&mut self, document: &Document, snapshot: Arc<Snapshot>) {
+        let Document { edition, packed, .. } = document;
+        let packed = packed.clone();
+        self.configuration = Some(Configuration { edition: *edition, packed, snapshot });
+        self.set_nodes(self.nodes);
+        self.remove_stale_routes();
+    }
+
     /// Removes the statistics of routes that are no longer configured.
     fn remove_stale_routes(&mut self) {
         let Some(known) = &self.configuration else { return };
@@ -226,6 +299,8 @@
     pub store_has_answered: AtomicBool,
     /// Notified when the store stops answering or answers again.
     pub store_changed: Notify,
+    /// Notified when a later configuration than the one in force is known to exist.
+    pub configuration_expected: Notify,
     /// Notified when this node's state has changed, so that a heartbeat is sent at once.
     pub heartbeat_due: Notify,
     /// Set to `true` when the connections of callers must be closed.
@@ -252,6 +327,9 @@
         let nodes = MIN_ASSUMED_NODES;
         let tables = Tables {
             configuration: None,
+            expected: None,
+            examined: 0,
+            slots: Slots::open(settings.capacity.link_mbps),
             catalog: Catalog::default(),
             upto: 0,
             confirmed: Time(0),
@@ -273,6 +351,7 @@
             store_answers: AtomicBool::new(false),
             store_has_answered: AtomicBool::new(false),
             store_changed: Notify::new(),
+            configuration_expected: Notify::new(),
             heartbeat_due: Notify::new(),
             closing: tokio::sync::watch::Sender::new(false),
             tables: Mutex::new(tables),
@@ -306,44 +385,49 @@
         self.tables().configuration.as_ref().map(|known| Arc::clone(&known.snapshot))
     }
 
-    /// Applies a configuration document unless a newer one is already in force. `source` is
-    /// logged.
-    pub fn configure(&self, revision: u64, document: &Bytes, source: &str) {
-        let mut tables = self.tables();
-        if tables.configuration.as_ref().is_some_and(|known| known.revision >= revision) {
-            return;
+    /// Records that a configuration of a store revision exists, so that it is fetched.
+    pub fn expect_configuration(&self, revision: u64) {
+        let now = self.now();
+        if self.tables().expect_configuration(now, revision) {
+            self.configuration_expected.notify_one();
         }
+    }
+
+    /// Puts a configuration in force unless a later one already is. `source` is logged.
+    pub fn configure(&self, document: &Document, source: &str) {
+        let revision = document.edition.revision;
         let started = self.now();
-        let snapshot = match jacinthfall_adapter::configuration::decode(document) {
-            Ok(snapshot) => snapshot,
+        let behind = {
+            let mut tables = self.tables();
+            let behind = tables.time_behind(started);
+            if !tables.examine(revision) {
+                return;
+            }
+            behind
+        };
+        // The document may be large, so it is decoded while the tables aren't locked.
+        let snapshot = match jacinthfall_adapter::configuration::decode(&document.text) {
+            Ok(snapshot) => Arc::new(snapshot),
             Err(error) => {
                 log::warn!("event=configuration_unreadable revision={revision} reason=\"{error}\"");
                 return;
             }
         };
-        let known = tables.configuration.as_ref();
-        if known.is_some_and(|known| known.snapshot.version > snapshot.version) {
-            return;
+        let decoding = self.now().since(started);
+        {
+            let mut tables = self.tables();
+            let in_force = tables.version();
+            if in_force > snapshot.version {
+                let version = snapshot.version;
+                log::warn!(
+                    "event=configuration_older version={version} in_force={in_force} \
+                     revision={revision}"
+                );
+                return;
+            }
+            log_configuration(document, &snapshot, source, decoding, behind);
+            tables.put_in_force(document, snapshot);
         }
-        let non_idempotent = snapshot.routes().filter(|route| !route.idempotent);
-        let non_idempotent: Vec<&str> = non_idempotent.map(|route| &*route.name).collect();
-        log::info!(
-            "event=configuration version={} revision={revision} source={source} bytes={} \
-             decode_ms={} routes={} services={} unrepeatable=[{}]",
-            snapshot.version,
-            document.len(),
-            self.now().since(started).as_millis(),
-            snapshot.routes().count(),
-            snapshot.services.len(),
-            non_idempotent.join(" ")
-        );
-        let snapshot = Arc::new(snapshot);
-        tables.configuration =
-            Some(Configuration { revision, document: document.clone(), snapshot });
-        let nodes = tables.nodes;
-        tables.set_nodes(nodes);
-        tables.remove_stale_routes();
-        drop(tables);
         self.serve_if_ready();
     }
 
@@ -395,6 +479,30 @@
     }
 }
 
+fn log_configuration(
+    document: &Document,
+    snapshot: &Snapshot,
+    source: &str,
+    decoding: Duration,
+    behind: Duration,
+) {
+    let non_idempotent = snapshot.routes().filter(|route| !route.idempotent);
+    let non_idempotent: Vec<&str> = non_idempotent.map(|route| &*route.name).collect();
+    log::info!(
+        "event=configuration version={} revision={} source={source} bytes={} packed_bytes={} \
+         decode_ms={} behind_ms={} routes={} services={} unrepeatable=[{}]",
+        snapshot.version,
+        document.edition.revision,
+        document.text.len(),
+        document.packed.len(),
+        decoding.as_millis(),
+        behind.as_millis(),
+        snapshot.routes().count(),
+        snapshot.services.len(),
+        non_idempotent.join(" ")
+    );
+}
+
 /// Opens the first connection to a leaf, so that no request has to wait for it.
 async fn preconnect(hub: Arc<Hub>, key: Key, address: SocketAddr) {
     if let Some(permit) = hub.pool.reserve(key, 1)
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -41,6 +41,14 @@
     describe_counter!("jacinthfall_store_calls_total", "Calls to the store by kind and outcome");
     describe_counter!("jacinthfall_exchanges_total", "Exchanges with other nodes by outcome");
     describe_histogram!("jacinthfall_exchange_seconds", "Time of exchanges, by outcome");
+    describe_counter!(
+        "jacinthfall_configuration_transfers_total",
+        "Attempts to fetch a later configuration from another node, by outcome"
+    );
+    describe_gauge!(
+        "jacinthfall_configuration_behind_seconds",
+        "Time for which a later configuration than the one in force is known to exist"
+    );
     describe_gauge!("jacinthfall_configuration_version", "Version of the configuration in force");
     describe_gauge!("jacinthfall_leafs_usable", "Leafs that may be given requests");
     describe_gauge!(
@@ -73,6 +81,8 @@
     let now = hub.now();
     let mut tables = hub.tables();
     gauge!("jacinthfall_configuration_version").set(tables.version() as f64);
+    let behind = tables.time_behind(now).as_secs_f64();
+    gauge!("jacinthfall_configuration_behind_seconds").set(behind);
     gauge!("jacinthfall_leafs_usable").set(tables.catalog.usable().count() as f64);
     gauge!("jacinthfall_nodes").set(tables.nodes as f64);
     let age = now.since(tables.confirmed);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,8 @@
 //!
 //! [`callers`] serves the requests of callers and [`leafs`] sends them to leafs
 //! over the connections of [`pool`]. [`store`]
-//! follows the platform's store, and [`peers`] exchanges data with the other nodes.
+//! follows the platform's store, and [`peers`] exchanges data with the other nodes,
+//! the configuration as a compressed [`document`].
 //! [`addresses`] serves the address lookup, readiness and metrics; [`audit`] writes the log
 //! lines about requests. The tasks share the state in [`hub`]. Decisions are made in
 //! `jacinthfall-dispatch`, under one lock ([`hub::Hub::tables`]).
@@ -14,6 +15,7 @@
 pub mod addresses;
 pub mod audit;
 pub mod callers;
+pub mod document;
 pub mod hub;
 pub mod leafs;
 pub mod listener;
--- /dev/null
+++ b/src/gateway/peers/exchange.rs
@@ -0,0 +1,99 @@
+//! Exchanges: the changes of leafs that another node knows and this one lacks.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use jacinthfall_dispatch::catalog::Delta;
+use jacinthfall_dispatch::roster::Node;
+use metrics::{counter, histogram};
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+
+use super::{Error, Peer};
+use crate::gateway::hub::Hub;
+
+/// HTTP path of an exchange.
+pub(super) const PATH: &str = "/exchange";
+
+/// Pause between two exchanges.
+const EXCHANGE_PAUSE: Duration = Duration::from_millis(150);
+
+/// Request of an exchange: asks a node for changes after a revision.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Query {
+    /// Store revision up to which the sender of the query knows all changes.
+    upto: u64,
+}
+
+/// Response of an exchange: the changes after the revision of the query.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Updates {
+    /// Store revision of the latest configuration that is known to exist; 0 if there is none.
+    configuration: u64,
+    /// Changed registrations of leafs.
+    leafs: Delta,
+    /// Store revision up to which the responding node knows all changes.
+    upto: u64,
+    /// All nodes, the responding one included, if the query's revision is 0; else empty.
+    nodes: Vec<Node>,
+}
+
+/// Returns the changes after the revision of a query, as far as this node knows them.
+pub(super) fn collect_updates(hub: &Hub, query: &Query) -> Updates {
+    let tables = hub.tables();
+    let others = tables.roster.members().map(|member| member.node.clone());
+    let nodes =
+        if query.upto == 0 { others.chain([hub.own.clone()]).collect() } else { Vec::new() };
+    Updates {
+        configuration: tables.latest_configuration(),
+        leafs: tables.catalog.changes_since(query.upto),
+        upto: tables.upto,
+        nodes,
+    }
+}
+
+/// Carries out the requested exchanges, one at a time.
+pub(super) async fn catch_up(hub: Arc<Hub>, mut requested: mpsc::Receiver<SocketAddr>) {
+    while let Some(peer) = requested.recv().await {
+        let started = Instant::now();
+        let result = fetch_updates(&hub, peer).await;
+        let outcome = if result.is_ok() { "ok" } else { "failed" };
+        counter!("jacinthfall_exchanges_total", "outcome" => outcome).increment(1);
+        histogram!("jacinthfall_exchange_seconds", "outcome" => outcome).record(started.elapsed());
+        match result {
+            Ok(updates) => merge_updates(&hub, updates, peer),
+            Err(error) => {
+                let upto = hub.tables().upto;
+                log::info!("event=exchange_failed peer={peer} upto={upto} reason=\"{error}\"");
+            }
+        }
+        tokio::time::sleep(EXCHANGE_PAUSE).await;
+    }
+}
+
+async fn fetch_updates(hub: &Hub, peer: SocketAddr) -> Result<Updates, Error> {
+    let query = Query { upto: hub.tables().upto };
+    Peer::open(peer).await?.ask(PATH, &query).await
+}
+
+fn merge_updates(hub: &Arc<Hub>, updates: Updates, peer: SocketAddr) {
+    hub.expect_configuration(updates.configuration);
+    let now = hub.now();
+    let (changed, first) = {
+        let mut tables = hub.tables();
+        let changed = tables.catalog.merge(now, updates.leafs, updates.upto);
+        let first = tables.upto == 0 && updates.upto > 0;
+        tables.upto = tables.upto.max(updates.upto);
+        for node in updates.nodes.into_iter().filter(|node| node.name != hub.own.name) {
+            if !tables.roster.members().any(|member| member.node.name == node.name) {
+                tables.roster.add_known(now, node);
+            }
+        }
+        (changed, first)
+    };
+    if first || !changed.is_empty() {
+        log::info!("event=leafs_from_peer peer={peer} upto={}", updates.upto);
+        hub.apply_leaf_changes(&changed, "peer");
+    }
+}
--- /dev/null
+++ b/src/gateway/peers/heartbeats.rs
@@ -0,0 +1,129 @@
+//! Heartbeats: what this node tells the others about itself, and what it learns from theirs.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bincode::config::standard;
+use jacinthfall_core::time::Time;
+use jacinthfall_dispatch::roster::{Heartbeat, Phase};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::gateway::hub::{Hub, MAX_WATCH_LAG};
+
+/// Interval between two heartbeats.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Maximum size of a datagram, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 2 * 1024;
+
+/// Sends heartbeats periodically, and at once when the state of this node has changed.
+pub(super) async fn send(hub: Arc<Hub>, socket: Arc<UdpSocket>) {
+    let mut ticks = interval(HEARTBEAT_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut rng = ChaCha8Rng::seed_from_u64(hub.own.started);
+    let mut phase = Phase::Starting;
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = hub.heartbeat_due.notified() => {}
+        }
+        let beat = heartbeat(&hub);
+        let targets = targets(&hub, &mut rng, beat.phase != phase);
+        phase = beat.phase;
+        let Ok(datagram) = bincode::serde::encode_to_vec(&beat, standard()) else { continue };
+        for target in targets {
+            // Errors are ignored: the next heartbeat makes up for a lost one.
+            let _ = socket.try_send_to(&datagram, target);
+        }
+    }
+}
+
+/// Returns the nodes that a heartbeat is sent to: all of them with `to_all`, and the seeds
+/// too while this node is starting or knows no other node.
+fn targets(hub: &Hub, rng: &mut ChaCha8Rng, to_all: bool) -> Vec<SocketAddr> {
+    let tables = hub.tables();
+    let mut targets: Vec<SocketAddr> = if to_all {
+        tables.roster.members().map(|member| member.node.peers).collect()
+    } else {
+        tables.roster.heartbeat_targets(&hub.own, rng)
+    };
+    if tables.phase == Phase::Starting || tables.roster.is_empty() {
+        let seeds = hub.settings.seeds().into_iter().filter(|seed| *seed != hub.own.peers);
+        targets.extend(seeds);
+    }
+    targets.sort_unstable();
+    targets.dedup();
+    targets
+}
+
+fn heartbeat(hub: &Hub) -> Heartbeat {
+    let tables = hub.tables();
+    let load = 1_000.0 * tables.parts.rate() / f64::from(hub.own.capacity.max(1));
+    Heartbeat {
+        node: hub.own.clone(),
+        phase: tables.phase,
+        upto: tables.upto,
+        configuration: tables.configuration_revision(),
+        store_answers: hub.store_answers.load(Ordering::Relaxed),
+        active: tables.is_active(),
+        load: load.min(f64::from(u16::MAX)) as u16,
+    }
+}
+
+/// Receives heartbeats, and requests an exchange with a sender that knows later changes.
+pub(super) async fn receive(
+    hub: Arc<Hub>,
+    socket: Arc<UdpSocket>,
+    exchanges: mpsc::Sender<SocketAddr>,
+) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    let mut behind_since: Option<Time> = None;
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+            tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+            continue;
+        };
+        let decoded =
+            bincode::serde::decode_from_slice::<Heartbeat, _>(&buffer[..length], standard());
+        let Ok((beat, _)) = decoded else {
+            log::warn!("event=heartbeat_unreadable bytes={length}");
+            continue;
+        };
+        if beat.node.name == hub.own.name {
+            continue;
+        }
+        let now = hub.now();
+        hub.expect_configuration(beat.configuration);
+        let (ahead, follows) = {
+            let mut tables = hub.tables();
+            if tables.roster.record_heartbeat(now, &beat) {
+                log::info!("event=node name={} phase={:?}", beat.node.name, beat.phase);
+                if beat.phase == Phase::Starting {
+                    // It may not know any node yet, so it is sent a heartbeat at once.
+                    hub.heartbeat_due.notify_one();
+                }
+            }
+            if beat.store_answers && beat.upto <= tables.upto {
+                tables.confirmed = now;
+            }
+            let ahead = beat.upto > tables.upto;
+            (ahead, ahead && tables.roster.is_follower_of_store(now, &hub.own))
+        };
+        if !ahead {
+            continue;
+        }
+        let since = *behind_since.get_or_insert(now);
+        let watches = follows && hub.store_answers.load(Ordering::Relaxed);
+        if !watches || now.since(since) >= MAX_WATCH_LAG {
+            behind_since = None;
+            // One exchange at a time is enough; the next heartbeat triggers another one.
+            let _ = exchanges.try_send(beat.node.peers);
+        }
+    }
+}
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -12,6 +12,7 @@
 use jacinthfall_dispatch::roster::Node;
 use metrics::{counter, histogram};
 
+use super::document::Document;
 use super::hub::Hub;
 use crate::registration::{self, Backoff, Entry};
 
@@ -113,7 +114,7 @@
             tokio::time::sleep(ROLE_POLL_INTERVAL).await;
             continue;
         }
-        if watch(&hub, &client).await.is_err() {
+        if follow_once(&hub, &client).await.is_err() {
             backoff.pause().await;
         } else {
             backoff.reset();
@@ -121,6 +122,18 @@
     }
 }
 
+/// Makes one watch call, after reading a configuration that the watch would pass over.
+async fn follow_once(hub: &Arc<Hub>, client: &Client) -> Result<(), Error> {
+    let passed_over = {
+        let tables = hub.tables();
+        tables.expected.is_some_and(|expected| expected.revision <= tables.upto)
+    };
+    if passed_over && let Some(item) = measure(hub, "get", client.get(configuration::KEY)).await? {
+        apply_configuration(hub, &item);
+    }
+    watch(hub, client).await
+}
+
 /// Waits up to [`MAX_PEERS_WAIT`] for data from other nodes. Nodes that are seeds themselves
 /// don't wait.
 async fn wait_for_peers(hub: &Hub) {
@@ -218,10 +231,16 @@
 }
 
 fn apply_configuration(hub: &Arc<Hub>, item: &Item) {
-    if &*item.key == configuration::KEY
-        && let Some(document) = &item.value
-    {
-        hub.configure(item.revision, document, "store");
+    if &*item.key != configuration::KEY || item.revision <= hub.tables().examined {
+        return;
+    }
+    let Some(text) = &item.value else { return };
+    match Document::pack(item.revision, text.clone()) {
+        Ok(document) => hub.configure(&document, "store"),
+        Err(error) => log::error!(
+            "event=configuration_unreadable revision={} reason=\"{error}\"",
+            item.revision
+        ),
     }
 }
 
