Say on the lines of a request how long its configuration was outdated

'answer' and 'rejected' now have behind_ms, and explain says it in words. The test asks a node while a later configuration is on its way; without the field explain said nothing.

--- a/src/gateway/audit/lines.rs
+++ b/src/gateway/audit/lines.rs
@@ -56,7 +56,7 @@
     lines.push(format!(
         "event=answer id={:?} route={} outcome={} detail={} took_ms={} waited_ms={} parts={} \
          done={} dead={} extra={} missing=[{}] objective_ms={} deadline_ms={} spent_ms={} \
-         version={} upto={} known_ms={} steps_left_out={skipped} passed_over={passed_over}",
+         version={} behind_ms={} upto={} known_ms={} steps_left_out={skipped} passed_over={passed_over}",
         header_text(request.id),
         request.route.name,
         outcome.name,
@@ -72,6 +72,7 @@
         request.deadline.since(request.arrived).as_millis(),
         request.spent.as_millis(),
         request.version,
+        tables.time_behind(now).as_millis(),
         tables.upto,
         now.since(tables.confirmed).as_millis(),
     ));
--- a/src/gateway/audit/mod.rs
+++ b/src/gateway/audit/mod.rs
@@ -155,16 +155,16 @@
         let Rejection { id, status, reason, host, path } = request;
         counter!("jacinthfall_rejections_total", "reason" => *reason).increment(1);
         let Some(passed_over) = lock(&self.0).failed.admit(hub.now()) else { return };
-        let (version, upto) = {
+        let (version, behind, upto) = {
             let tables = hub.tables();
-            (tables.version(), tables.upto)
+            (tables.version(), tables.time_behind(hub.now()).as_millis(), tables.upto)
         };
         let id = id.map(header_text).unwrap_or_default();
         let status = status.as_u16();
         let (host, path) = (truncate(host), truncate(path));
         let line = format!(
             "event=rejected id={id:?} status={status} reason={reason} host={host:?} \
-             path={path:?} version={version} upto={upto} passed_over={passed_over}"
+             path={path:?} version={version} behind_ms={behind} upto={upto} passed_over={passed_over}"
         );
         log::info!("{line}");
         lock(&self.0).history.push(id, line);
--- a/src/ops/explain/render.rs
+++ b/src/ops/explain/render.rs
@@ -102,6 +102,12 @@
         format!(" (in force since {}, from {})", line.time, line.text("source"))
     });
     lines.push(format!("Configuration version {version}{source}."));
+    if end.number("behind_ms") > 0 {
+        lines.push(format!(
+            "A later version had been known to exist for {} ms and had not arrived yet.",
+            end.text("behind_ms")
+        ));
+    }
     if let Some(known) = end.get("known_ms") {
         let upto = end.text("upto");
         lines.push(format!(
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -7,9 +7,12 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use jacinthfall_testkit::gateway::leaf::{Behaviour, Leaf};
-use jacinthfall_testkit::gateway::site::{Request, Site, gather, route, serving_leaf};
+use jacinthfall_testkit::gateway::site::{
+    Request, Site, exchange, gather, route, serving_leaf, wait_for,
+};
 use serde_json::Value;
 
+use crate::spread::{linked, many_routes, status};
 use crate::support::serving;
 
 /// Upper limit of log lines about failed requests in one second: 100, and up to 25 more from
@@ -36,9 +39,25 @@
 
 /// Stops the first node and returns its log.
 fn stop_and_read_log(site: &mut Site) -> String {
-    site.nodes[0].process.terminate();
-    site.nodes[0].process.wait();
-    site.nodes[0].process.remaining_lines().join("\n") + "\n"
+    stop_and_read_log_of(site, 0)
+}
+
+/// Stops a node and returns its log.
+fn stop_and_read_log_of(site: &mut Site, node: usize) -> String {
+    let process = &mut site.nodes[node].process;
+    process.terminate();
+    process.wait();
+    process.remaining_lines().join("\n") + "\n"
+}
+
+/// Returns for how long a node has known of a later configuration, from its metrics.
+fn seconds_behind(site: &Site, node: usize) -> f64 {
+    let request = "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    let response = exchange(site.nodes[node].addresses, request.as_bytes());
+    let text = String::from_utf8_lossy(&response).into_owned();
+    let mut lines = text.lines();
+    let value = lines.find_map(|l| l.strip_prefix("jacinthfall_configuration_behind_seconds "));
+    value.expect("a gauge").parse().expect("a number")
 }
 
 fn ask(site: &Site, id: &str) -> u16 {
@@ -229,3 +248,20 @@
         }
     }
 }
+
+#[test]
+fn a_request_under_an_outdated_configuration_is_explained() {
+    let leaf = serving_leaf("i-1", b"ok");
+    let (mut site, _links, _silent) = linked(2, 20_000, &leaf);
+    site.configure(&many_routes("/moved/"));
+    wait_for("the configuration at the first node", || status(&site, 0, "/moved/1") == 200);
+    wait_for("the second node to know of it", || seconds_behind(&site, 1) > 0.0);
+
+    let request = Request { id: "r-7", target: "/moved/1", ..Request::default() };
+    let answer = site.ask(1, &request).status;
+    let log = stop_and_read_log_of(&mut site, 1);
+    let text = stdout(&command(&["explain", "r-7"], &log));
+
+    assert_eq!(answer, 404);
+    assert!(text.contains("A later version had been known to exist for"), "{text}");
+}
--- a/tests/gateway/spread.rs
+++ b/tests/gateway/spread.rs
@@ -16,7 +16,7 @@
 const MANY_ROUTES: usize = 4_600;
 
 /// Returns many routes with random names, and the route of the fixtures at `prefix`.
-fn many_routes(prefix: &str) -> Vec<Value> {
+pub fn many_routes(prefix: &str) -> Vec<Value> {
     let mut rng = ChaCha8Rng::seed_from_u64(24);
     let mut word = |length| Alphanumeric.sample_string(&mut rng, length).to_lowercase();
     let mut routes: Vec<Value> = (0..MANY_ROUTES)
@@ -41,7 +41,7 @@
 
 /// Starts nodes of which only the first reaches the store. The others reach each other and the
 /// first one by links of `bytes_per_second`.
-fn linked(nodes: usize, bytes_per_second: u32, leaf: &Leaf) -> (Site, Links, TcpListener) {
+pub fn linked(nodes: usize, bytes_per_second: u32, leaf: &Leaf) -> (Site, Links, TcpListener) {
     let mut site = serving(&[route("safe")], &[("i-1", "a", leaf)]);
     let links = Links::open().expect("a runtime");
     let first = links.add(site.nodes[0].peers, bytes_per_second).expect("a free port");
@@ -55,7 +55,7 @@
     (site, links, silent)
 }
 
-fn status(site: &Site, node: usize, target: &str) -> u16 {
+pub fn status(site: &Site, node: usize, target: &str) -> u16 {
     site.ask(node, &Request { target, ..Request::default() }).status
 }
 
