Add failing tests of a store that returns from an older copy

The stand-in of the store takes copies, returns to them with its revisions given out again, answers watches from revisions that it doesn't have with 410, and tells its era in each response.

--- a/crates/standin/src/platform/control.rs
+++ b/crates/standin/src/platform/control.rs
@@ -30,6 +30,11 @@
     pub put: Vec<Put>,
     /// Whether to drop the history, so that watches from older revisions fail.
     pub compact: bool,
+    /// Whether to take a copy of the store, for `restore`.
+    pub copy: bool,
+    /// Whether the store returns to its latest copy. The era rises by one, watches that wait are
+    /// cut, and the revisions after that of the copy are given out again.
+    pub restore: bool,
     /// Has no effect; names the intent of a request that only reads the counters, which every
     /// reply carries.
     pub counters: bool,
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -8,7 +8,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderName, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -32,12 +32,16 @@
 /// HTTP path of requests that change the faults and return the counters.
 const CONTROL: &str = "/control";
 
+/// Header of all responses: the number of times that the store returned to a copy.
+const ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// Pause after a failed `accept`.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// State that waiting watches depend on; any change of it wakes them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Signal {
+    era: u64,
     revision: u64,
     outage: bool,
     silent: bool,
@@ -47,6 +51,10 @@
 #[derive(Debug)]
 struct State {
     store: Store,
+    /// Number of times that the store returned to a copy.
+    era: u64,
+    /// The latest copy of the store.
+    copy: Store,
     reads: Limit,
     writes: Limit,
     latency: Duration,
@@ -116,6 +124,8 @@
 pub async fn bind(address: SocketAddr, settings: &Settings) -> io::Result<Server> {
     let state = State {
         store: Store::default(),
+        era: 0,
+        copy: Store::default(),
         reads: Limit::new(settings.reads_per_second),
         writes: Limit::new(settings.writes_per_second),
         latency: settings.latency,
@@ -128,7 +138,7 @@
         late_delay: Duration::ZERO,
         counters: Counters::default(),
     };
-    let (signal, _) = watch::channel(Signal { revision: 0, outage: false, silent: false });
+    let (signal, _) = watch::channel(Signal { era: 0, revision: 0, outage: false, silent: false });
     let shared = Arc::new(Shared { clock: Clock::open(), state: Mutex::new(state), signal });
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
@@ -157,11 +167,14 @@
     let service = service_fn(move |request| {
         let shared = Arc::clone(&shared);
         async move {
-            match respond(&shared, request).await {
-                Err(Failure::Status(status)) => Ok(refusal(status)),
-                Err(Failure::Lost) => Err(Failure::Lost),
-                Ok(response) => Ok(response),
-            }
+            let mut response = match respond(&shared, request).await {
+                Err(Failure::Status(status)) => refusal(status),
+                Err(Failure::Lost) => return Err(Failure::Lost),
+                Ok(response) => response,
+            };
+            let era = shared.lock().era;
+            response.headers_mut().insert(ERA, era.into());
+            Ok(response)
         }
     });
     let builder = auto::Builder::new(TokioExecutor::new());
@@ -244,8 +257,12 @@
 /// Waits until there are changes after revision `after` of keys with `prefix`.
 async fn changes(shared: &Shared, prefix: &str, after: u64) -> Result<Vec<Item>, Failure> {
     let mut signal = shared.signal.subscribe();
+    let started = signal.borrow().era;
     loop {
-        let Signal { outage, silent, .. } = *signal.borrow_and_update();
+        let Signal { era, outage, silent, .. } = *signal.borrow_and_update();
+        if era != started {
+            return Err(Failure::Lost);
+        }
         if silent {
             std::future::pending::<()>().await;
         }
@@ -372,8 +389,12 @@
     /// Wakes waiting watches if the state that they depend on has changed.
     fn wake(&self) {
         let state = self.lock();
-        let signal =
-            Signal { revision: state.store.revision(), outage: state.outage, silent: state.silent };
+        let signal = Signal {
+            era: state.era,
+            revision: state.store.revision(),
+            outage: state.outage,
+            silent: state.silent,
+        };
         drop(state);
         self.signal.send_if_modified(|before| {
             let changed = *before != signal;
@@ -433,6 +454,13 @@
         if let Some(rate) = change.reads_per_second {
             self.reads = Limit::new(rate);
         }
+        if change.copy {
+            self.copy = self.store.clone();
+        }
+        if change.restore {
+            self.store = self.copy.clone();
+            self.era += 1;
+        }
         for put in change.put {
             self.store.put(&put.key, put.value.map(Bytes::from));
         }
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -119,9 +119,10 @@
     ///
     /// # Errors
     ///
-    /// [`Compacted`] if some of them are no longer in the history.
+    /// [`Compacted`] if some of them are no longer in the history, or if the store has not reached
+    /// that revision.
     pub fn changes(&self, prefix: &str, after: u64) -> Result<Vec<Item>, Compacted> {
-        if after < self.compacted_through {
+        if after < self.compacted_through || after > self.revision {
             return Err(Compacted);
         }
         let later = self.history.iter().filter(|item| item.revision > after);
--- a/crates/testkit/src/gateway/site.rs
+++ b/crates/testkit/src/gateway/site.rs
@@ -113,6 +113,19 @@
         let _ = call::control(self.store, &change);
     }
 
+    /// Returns the revision of the store.
+    ///
+    /// # Panics
+    ///
+    /// If the store does not tell it.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        let change = Change { counters: true, ..Change::default() };
+        let change = serde_json::to_value(change).expect("plain");
+        let counters = call::control(self.store, &change);
+        counters["revision"].as_u64().expect("a revision")
+    }
+
     /// Writes a key, or deletes it if `value` is `None`.
     pub fn put(&self, key: &str, value: Option<String>) {
         let put = vec![Put { key: key.into(), value }];
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod input;
 mod nodes;
 mod output;
+mod restore;
 mod soak;
 mod spread;
 mod support;
