--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -21,6 +21,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use jacinthfall_core::history::Position;
 use jacinthfall_core::id;
 use jacinthfall_core::record::Record;
 use jacinthfall_core::time::Time;
@@ -71,8 +72,8 @@
     Stored {
         /// Every record that changed after the requested revision.
         records: Vec<Record>,
-        /// Store revision up to which `records` includes all changes.
-        revision: u64,
+        /// Place in the store's history up to which `records` includes all changes.
+        upto: Position,
     },
     /// The watch started by [`Action::Watch`] failed.
     StoreFailed,
@@ -95,11 +96,11 @@
     },
     /// Put a record into force.
     Apply(Arc<Record>),
-    /// Watch the store for changes after a revision, for up to [`WATCH_WAIT`],
+    /// Watch the store for changes after a place, for up to [`WATCH_WAIT`],
     /// then report the result as [`Event::Stored`] or [`Event::StoreFailed`].
     Watch {
-        /// Store revision.
-        after: u64,
+        /// Place in the store's history.
+        after: Position,
     },
     /// Send [`Event::Wake`] at this time. Replaces earlier wake-ups.
     Wake(Time),
@@ -177,7 +178,7 @@
         match event {
             Event::Peers(peers) => self.set_peers(peers, now),
             Event::Frame { from, message } => self.handle_frame(&from, message, now),
-            Event::Stored { records, revision } => self.handle_stored(records, revision, now),
+            Event::Stored { records, upto } => self.handle_stored(records, upto, now),
             Event::StoreFailed => self.handle_store_failure(now),
             Event::Accepted(record) => self.handle_accepted(record),
             Event::Wake => self.next_wake = None,
--- a/crates/config/src/watch.rs
+++ b/crates/config/src/watch.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use jacinthfall_core::history::Position;
 use jacinthfall_core::record::Record;
 use jacinthfall_core::time::Time;
 use rand::Rng;
@@ -43,8 +44,8 @@
 #[derive(Debug)]
 pub(crate) struct Watch {
     state: State,
-    /// Store revision up to which all changes were received.
-    revision: u64,
+    /// Place in the store's history up to which all changes were received.
+    upto: Position,
     /// Earliest time of the next attempt.
     next_attempt: Time,
     backoff: Duration,
@@ -59,7 +60,7 @@
     fn default() -> Watch {
         Watch {
             state: State::Idle,
-            revision: 0,
+            upto: Position::START,
             next_attempt: Time::default(),
             backoff: MIN_BACKOFF,
             takeover_until: None,
@@ -95,7 +96,7 @@
             return;
         }
         self.watch.state = State::Waiting { since: now };
-        self.actions.push(Action::Watch { after: self.watch.revision });
+        self.actions.push(Action::Watch { after: self.watch.upto });
     }
 
     /// Takes over the watch with a low probability if this node is no watcher and
@@ -117,7 +118,7 @@
 
     /// Applies the records that the watch returned. They are at least as recent as
     /// the start of the watch, which therefore counts as the time of confirmation.
-    pub(crate) fn handle_stored(&mut self, records: Vec<Record>, revision: u64, now: Time) {
+    pub(crate) fn handle_stored(&mut self, records: Vec<Record>, upto: Position, now: Time) {
         for record in records {
             self.apply(Arc::new(record), None);
         }
@@ -125,15 +126,22 @@
         let State::Waiting { since } = self.watch.state else { return };
         self.watch.state = State::Idle;
         self.watch.backoff = MIN_BACKOFF;
-        if revision < self.watch.revision {
+        if upto < self.watch.upto {
             log::warn!(
-                "store revision went back from {} to {revision}; reading all records again",
-                self.watch.revision
+                "store revision went back from {} to {upto}; reading all records again",
+                self.watch.upto
             );
-            self.watch.revision = 0;
+            self.watch.upto = Position::START;
             return;
         }
-        self.watch.revision = revision;
+        if upto.era > self.watch.upto.era && self.watch.upto > Position::START {
+            log::warn!(
+                "the store returned from an older copy, at {upto} after {}; changes that it lost \
+                 stay in force, put them again",
+                self.watch.upto
+            );
+        }
+        self.watch.upto = upto;
         self.confirm(since, now);
         self.become_ready();
     }
--- a/crates/config/tests/support/mod.rs
+++ b/crates/config/tests/support/mod.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 
 use jacinthfall_config::{Action, Engine, Event, Peer, Status, WATCH_WAIT};
+use jacinthfall_core::history::Position;
 use jacinthfall_core::id;
 use jacinthfall_core::profile::Profile;
 use jacinthfall_core::record::{Body, Change, Record, profile_key};
@@ -39,7 +40,7 @@
     Frame(id::Name, Message),
     Wake(u64),
     Peers,
-    Stored { incarnation: u64, records: Vec<Record>, revision: u64 },
+    Stored { incarnation: u64, records: Vec<Record>, upto: Position },
     StoreFailed { incarnation: u64 },
     WatchEnds { incarnation: u64, watch: u64 },
 }
@@ -327,10 +328,8 @@
             Item::Wake(wake) if wake == self.nodes[index].wake => self.handle(index, Event::Wake),
             Item::Wake(_) => {}
             Item::Peers => self.handle_peers(index),
-            Item::Stored { incarnation: receiver, records, revision }
-                if receiver == incarnation =>
-            {
-                self.handle(index, Event::Stored { records, revision });
+            Item::Stored { incarnation: receiver, records, upto } if receiver == incarnation => {
+                self.handle(index, Event::Stored { records, upto });
             }
             Item::StoreFailed { incarnation: receiver } if receiver == incarnation => {
                 self.handle(index, Event::StoreFailed)
@@ -350,7 +349,7 @@
         match action {
             Action::Send { to, message } => self.send(index, &to, message),
             Action::Apply(record) => self.check_applied(index, &record),
-            Action::Watch { after } => self.watch(index, after),
+            Action::Watch { after } => self.watch(index, after.revision),
             Action::Wake(at) => {
                 self.nodes[index].wake += 1;
                 let wake = self.nodes[index].wake;
@@ -389,7 +388,11 @@
             let after = usize::try_from(after).expect("it counts writes");
             let changed = self.store.writes.get(after..).unwrap_or_default();
             let records = changed.iter().map(|(_, record)| record.clone()).collect();
-            Item::Stored { incarnation, records, revision: self.store.writes.len() as u64 }
+            Item::Stored {
+                incarnation,
+                records,
+                upto: Position::new(0, self.store.writes.len() as u64),
+            }
         } else {
             Item::StoreFailed { incarnation }
         };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod event;
 pub mod fate;
 pub mod hash;
+pub mod history;
 pub mod id;
 pub mod leaf;
 pub mod profile;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,7 +7,7 @@
 //! parts of a query over shards. [`split`] distributes requests over services by weight,
 //! [`caller_timeout`] estimates how long a caller has been retrying, and [`roster`] tracks
 //! the other nodes and selects those that callers may use. [`transfer`] spreads a large document
-//! over the nodes.
+//! over the nodes, and [`configuration`] orders the versions of the one that it is for.
 //!
 //! Nothing here opens a socket, reads a clock or starts a thread: the current time is an
 //! argument of every call, and sending is left to the caller.
@@ -15,6 +15,7 @@
 pub mod budget;
 pub mod caller_timeout;
 pub mod catalog;
+pub mod configuration;
 pub mod fleet;
 pub mod flight;
 pub mod latency;
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -7,12 +7,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use jacinthfall_core::history::Position;
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 
+use crate::transfer::Rank;
+
 /// Time without a heartbeat after which a node's address isn't given to callers.
 pub const SUSPECT_AFTER: Duration = Duration::from_millis(900);
 
@@ -84,10 +87,10 @@
     pub node: Node,
     /// Its lifecycle phase.
     pub phase: Phase,
-    /// Store revision up to which it knows all changes.
-    pub upto: u64,
-    /// Store revision of its configuration in force; 0 if there is none yet.
-    pub configuration: u64,
+    /// Place in the store's history up to which it knows all changes.
+    pub upto: Position,
+    /// Rank of its configuration in force.
+    pub configuration: Rank,
     /// Whether the store answers its requests.
     pub store_answers: bool,
     /// Whether callers send it requests.
@@ -108,8 +111,8 @@
     pub last_heard: Option<Time>,
     /// Whether it is registered in the store.
     pub registered: bool,
-    /// Store revision of its configuration in force, according to its latest heartbeat.
-    pub configuration: u64,
+    /// Rank of its configuration in force, according to its latest heartbeat.
+    pub configuration: Rank,
     /// Whether the store answered its requests, according to its latest heartbeat.
     pub store_answers: bool,
     /// Whether callers sent it requests, according to its latest heartbeat.
@@ -144,7 +147,7 @@
             phase: Phase::Starting,
             last_heard: None,
             registered: false,
-            configuration: 0,
+            configuration: Rank::default(),
             store_answers: false,
             active: false,
             load: 0,
@@ -216,6 +219,19 @@
         }
     }
 
+    /// Records which nodes are registered in the store, after all registrations were listed.
+    pub fn retain_registrations(&mut self, listed: &HashSet<id::Name>) {
+        for (name, member) in &mut self.members {
+            member.registered &= listed.contains(name);
+        }
+    }
+
+    /// Whether a serving node has sent a heartbeat lately.
+    #[must_use]
+    pub fn hears_serving_node(&self, now: Time) -> bool {
+        self.members.values().any(|member| member.phase == Phase::Serving && member.is_heard(now))
+    }
+
     /// Removes nodes that are neither registered nor heard from within [`FORGET_AFTER`].
     /// Returns the changes since the last call. [`Change::Silent`] is reported only for nodes
     /// that send every heartbeat to this one.
@@ -280,11 +296,11 @@
         })
     }
 
-    /// Returns the nodes that have a later configuration in force than the one of a revision:
-    /// those of the own zone, or of other zones if there are none.
+    /// Returns the nodes that have a configuration of a higher rank in force: those of the own
+    /// zone, or of other zones if there are none.
     #[must_use]
-    pub fn configuration_sources(&self, now: Time, own: &Node, revision: u64) -> Vec<&Member> {
-        let later = |member: &&Member| member.configuration > revision && member.is_heard(now);
+    pub fn configuration_sources(&self, now: Time, own: &Node, rank: Rank) -> Vec<&Member> {
+        let later = |member: &&Member| member.configuration > rank && member.is_heard(now);
         let sources = self.members.values().filter(later);
         let (near, far): (Vec<&Member>, Vec<&Member>) =
             sources.partition(|member| member.node.zone == own.zone);
--- a/crates/dispatch/src/transfer.rs
+++ b/crates/dispatch/src/transfer.rs
@@ -11,6 +11,7 @@
 
 use bytes::{Bytes, BytesMut};
 use jacinthfall_core::hash;
+use jacinthfall_core::history::Position;
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
 use serde::{Deserialize, Serialize};
@@ -31,11 +32,24 @@
 /// Time without a request for a piece after which a receiver loses its slot.
 const SLOT_LEASE: Duration = Duration::from_millis(500);
 
-/// One revision of the document, in the form that is sent.
+/// Order of the documents: a later version wins, wherever it stands in the store's history.
+///
+/// A store that returns from an older copy holds an older version at a later place.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Rank {
+    /// Version that the operator gave the document; 0 for no document.
+    pub version: u64,
+    /// Place of the document in the store's history.
+    pub at: Position,
+}
+
+/// One version of the document, in the form that is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Edition {
-    /// Store revision of the document.
-    pub revision: u64,
+    /// Rank of the document.
+    pub rank: Rank,
     /// Digest of the bytes that are sent.
     pub digest: u64,
     /// Number of the bytes that are sent.
@@ -43,15 +57,15 @@
 }
 
 impl Edition {
-    /// Describes `bytes`, which hold the document of a store revision.
+    /// Describes `bytes`, which hold the document of a rank.
     ///
     /// ```
-    /// use jacinthfall_dispatch::transfer::Edition;
-    /// assert_eq!(Edition::of(7, b"routes").length, 6);
+    /// use jacinthfall_dispatch::transfer::{Edition, Rank};
+    /// assert_eq!(Edition::of(Rank::default(), b"routes").length, 6);
     /// ```
     #[must_use]
-    pub fn of(revision: u64, bytes: &[u8]) -> Edition {
-        Edition { revision, digest: hash::digest(bytes), length: bytes.len() }
+    pub fn of(rank: Rank, bytes: &[u8]) -> Edition {
+        Edition { rank, digest: hash::digest(bytes), length: bytes.len() }
     }
 }
 
@@ -84,7 +98,7 @@
 
 /// How far a receiver is with an edition.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Position {
+pub struct Progress {
     /// The edition.
     pub edition: Edition,
     /// Number of bytes that have arrived.
@@ -135,7 +149,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum Error {
     /// It belongs to an older edition than the one that is being received.
-    #[error("the piece belongs to an older revision; ask another node")]
+    #[error("the piece belongs to an older version; ask another node")]
     Older,
     /// It doesn't continue what has arrived.
     #[error("the piece doesn't continue what has arrived; ask again")]
@@ -158,8 +172,8 @@
 impl Download {
     /// Returns how far the download is; `None` if nothing has arrived.
     #[must_use]
-    pub fn position(&self) -> Option<Position> {
-        self.edition.map(|edition| Position { edition, offset: self.bytes.len() })
+    pub fn progress(&self) -> Option<Progress> {
+        self.edition.map(|edition| Progress { edition, offset: self.bytes.len() })
     }
 
     /// Drops what has arrived.
@@ -198,7 +212,7 @@
     }
 
     fn restart(&mut self, edition: Edition) -> Result<(), Error> {
-        if self.edition.is_some_and(|current| current.revision > edition.revision) {
+        if self.edition.is_some_and(|current| current.rank > edition.rank) {
             return Err(Error::Older);
         }
         if edition.length > MAX_DOCUMENT_BYTES {
--- a/crates/dispatch/tests/suite/catalog.rs
+++ b/crates/dispatch/tests/suite/catalog.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use jacinthfall_core::history::Position;
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::catalog::{Catalog, Delta, FORGET_AFTER, LAPSE_GRACE, Record};
@@ -12,11 +13,20 @@
 }
 
 fn record(revision: u64, born: u64, sequence: u64) -> Record {
-    Record { revision, entry: Some(entry("a", "z", Age { born, sequence })) }
+    record_at(at(revision), born, sequence)
+}
+
+/// Place of a revision in the first era.
+fn at(revision: u64) -> Position {
+    Position::new(0, revision)
+}
+
+fn record_at(at: Position, born: u64, sequence: u64) -> Record {
+    Record::of(at, Some(entry("a", "z", Age { born, sequence })))
 }
 
 fn removed(revision: u64) -> Record {
-    Record { revision, entry: None }
+    Record::of(at(revision), None)
 }
 
 fn usable(catalog: &Catalog) -> Vec<Entry> {
@@ -101,7 +111,7 @@
     catalog.apply(Time(0), &id(), record(5, 1, 1));
     catalog.apply(Time(0), &"i-2".into(), record(30, 1, 1));
 
-    catalog.apply_listing(Time(0), vec![("i-3".into(), record(9, 1, 1))], 20);
+    catalog.apply_listing(Time(0), vec![("i-3".into(), record(9, 1, 1))], at(20));
 
     let mut ids: Vec<_> = catalog.usable().map(|(id, _)| id.to_string()).collect();
     ids.sort_unstable();
@@ -159,9 +169,9 @@
     behind.apply(Time(0), &id(), record(5, 1, 1));
     behind.apply(Time(0), &"i-2".into(), record(6, 1, 1));
     let mut listed = Catalog::default();
-    listed.apply_listing(Time(0), vec![("i-2".into(), record(6, 1, 1))], 20);
+    listed.apply_listing(Time(0), vec![("i-2".into(), record(6, 1, 1))], at(20));
 
-    behind.merge(Time(0), listed.changes_since(10), 20);
+    behind.merge(Time(0), listed.changes_since(at(10)), at(20));
 
     let ids: Vec<_> = behind.usable().map(|(id, _)| id.to_string()).collect();
     assert_eq!(ids, ["i-2"], "the listing shows that the other leaf was removed");
@@ -172,9 +182,9 @@
     let mut behind = Catalog::default();
     behind.apply(Time(0), &id(), record(5, 1, 1));
     let mut listed = Catalog::default();
-    listed.apply_listing(Time(0), Vec::new(), 20);
+    listed.apply_listing(Time(0), Vec::new(), at(20));
 
-    listed.merge(Time(0), behind.changes_since(0), 10);
+    listed.merge(Time(0), behind.changes_since(at(0)), at(10));
 
     assert!(usable(&listed).is_empty());
 }
@@ -182,10 +192,10 @@
 #[test]
 fn a_delta_for_a_recent_revision_holds_only_later_records() {
     let mut ahead = Catalog::default();
-    ahead.apply_listing(Time(0), vec![(id(), record(5, 1, 1))], 20);
+    ahead.apply_listing(Time(0), vec![(id(), record(5, 1, 1))], at(20));
     ahead.apply(Time(0), &"i-2".into(), record(30, 1, 1));
 
-    let delta = ahead.changes_since(25);
+    let delta = ahead.changes_since(at(25));
 
     assert_eq!(delta, Delta { records: vec![("i-2".into(), record(30, 1, 1))], complete: false });
 }
@@ -199,8 +209,108 @@
     behind.apply(Time(0), &id(), record(5, 1, 1));
 
     ahead.expire(Time(0) + FORGET_AFTER);
-    behind.merge(Time(0), ahead.changes_since(6), 12);
+    behind.merge(Time(0), ahead.changes_since(at(6)), at(12));
 
     assert!(ahead.is_empty());
     assert!(usable(&behind).is_empty());
 }
+
+/// Place of a revision in the era after a restore.
+fn restored(revision: u64) -> Position {
+    Position::new(1, revision)
+}
+
+fn with_state(mut record: Record, state: State) -> Record {
+    record.entry.as_mut().expect("an entry").state = state;
+    record
+}
+
+#[test]
+fn a_later_era_wins_over_any_revision_of_an_earlier_one() {
+    let mut catalog = Catalog::default();
+    catalog.apply(Time(0), &id(), record_at(at(50), 1, 1));
+
+    let late = catalog.apply(Time(0), &id(), Record::of(restored(3), None));
+    let overtaken = catalog.apply(Time(0), &id(), record(60, 1, 2));
+
+    assert!(late);
+    assert!(!overtaken, "an answer of an earlier era that arrives late changes nothing");
+}
+
+#[test]
+fn an_old_listing_that_arrives_after_a_restore_changes_nothing() {
+    let mut catalog = Catalog::default();
+    catalog.apply_listing(Time(0), vec![(id(), record_at(restored(3), 1, 1))], restored(3));
+
+    let changed = catalog.apply_listing(Time(0), vec![("i-2".into(), record(50, 1, 1))], at(50));
+
+    assert!(changed.is_empty());
+    assert_eq!(usable(&catalog).len(), 1);
+}
+
+#[test]
+fn a_leaf_that_the_copy_lacks_is_used_while_it_may_still_write_again() {
+    let mut catalog = Catalog::default();
+    catalog.apply(Time(0), &id(), record(50, 1, 4));
+    let start = Time(0) + FORGET_AFTER;
+
+    catalog.apply_listing(start, Vec::new(), restored(3));
+
+    assert_eq!(usable(&catalog).len(), 1);
+    catalog.apply(start + LAPSE_GRACE / 2, &id(), record_at(restored(5), 1, 4));
+    assert!(catalog.expire(start + LAPSE_GRACE).is_empty(), "it has written again");
+    assert_eq!(usable(&catalog).len(), 1);
+}
+
+#[test]
+fn a_leaf_that_the_copy_lacks_and_that_does_not_write_again_is_dropped() {
+    let mut catalog = Catalog::default();
+    catalog.apply(Time(0), &id(), record(50, 1, 4));
+    let start = Time(0) + FORGET_AFTER;
+
+    catalog.apply_listing(start, Vec::new(), restored(3));
+    let lapsed = catalog.expire(start + LAPSE_GRACE);
+
+    assert_eq!(lapsed, [id()]);
+    assert!(usable(&catalog).is_empty());
+}
+
+#[test]
+fn a_leaf_that_had_left_before_a_restore_stays_out_until_it_writes_again() {
+    let mut catalog = Catalog::default();
+    catalog.apply(Time(0), &id(), record(40, 1, 4));
+    catalog.apply(Time(0), &id(), removed(50));
+
+    catalog.apply_listing(Time(1), vec![(id(), record_at(restored(40), 1, 4))], restored(45));
+
+    assert!(usable(&catalog).is_empty());
+    catalog.apply(Time(2), &id(), record_at(restored(46), 1, 5));
+    assert_eq!(usable(&catalog).len(), 1, "it is alive after all");
+}
+
+#[test]
+fn a_drain_that_the_copy_lacks_is_not_forgotten() {
+    let mut catalog = Catalog::default();
+    catalog.apply(Time(0), &id(), record(40, 1, 4));
+    catalog.apply(Time(0), &id(), with_state(record(50, 1, 5), State::Draining));
+
+    catalog.apply_listing(Time(1), vec![(id(), record_at(restored(40), 1, 4))], restored(45));
+
+    assert!(usable(&catalog).is_empty());
+}
+
+#[test]
+fn a_node_that_took_an_old_copy_for_the_present_learns_better_from_another_node() {
+    let listing = || vec![(id(), record_at(restored(40), 1, 4))];
+    let mut known = Catalog::default();
+    known.apply(Time(0), &id(), record(40, 1, 4));
+    known.apply(Time(0), &id(), removed(50));
+    known.apply_listing(Time(1), listing(), restored(45));
+    let mut started = Catalog::default();
+    started.apply_listing(Time(1), listing(), restored(45));
+    assert_eq!(usable(&started).len(), 1);
+
+    started.merge(Time(2), known.changes_since(Position::START), restored(45));
+
+    assert!(usable(&started).is_empty());
+}
--- a/crates/dispatch/tests/suite/main.rs
+++ b/crates/dispatch/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod flight;
 mod merge;
 mod overload;
+mod restore;
 mod roster;
 mod support;
 mod trail;
--- a/crates/dispatch/tests/suite/roster.rs
+++ b/crates/dispatch/tests/suite/roster.rs
@@ -2,10 +2,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use jacinthfall_core::history::Position;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::roster::{
     Change, FORGET_AFTER, Heartbeat, Node, Phase, Roster, SUSPECT_AFTER,
 };
+use jacinthfall_dispatch::transfer::Rank;
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -21,12 +23,16 @@
     }
 }
 
+fn rank(version: u64) -> Rank {
+    Rank { version, at: Position::START }
+}
+
 fn beat(name: &str, phase: Phase) -> Heartbeat {
     Heartbeat {
         node: node(name, 1),
         phase,
-        upto: 1,
-        configuration: 0,
+        upto: Position::new(0, 1),
+        configuration: Rank::default(),
         store_answers: true,
         active: true,
         load: 0,
@@ -268,15 +274,15 @@
     roster.record_heartbeat(Time(0), &beat("behind", Phase::Serving));
     roster.record_heartbeat(
         Time(0),
-        &Heartbeat { node: far, configuration: 9, ..beat("far", Phase::Serving) },
+        &Heartbeat { node: far, configuration: rank(9), ..beat("far", Phase::Serving) },
     );
     let names = |roster: &Roster, now: Time| -> Vec<String> {
-        let sources = roster.configuration_sources(now, &own, 5);
+        let sources = roster.configuration_sources(now, &own, rank(5));
         sources.into_iter().map(|member| member.node.name.to_string()).collect()
     };
     assert_eq!(names(&roster, Time(0)), ["far"]);
 
-    let near = Heartbeat { configuration: 8, ..beat("near", Phase::Serving) };
+    let near = Heartbeat { configuration: rank(8), ..beat("near", Phase::Serving) };
     roster.record_heartbeat(Time(0), &near);
 
     assert_eq!(names(&roster, Time(0)), ["near"]);
--- a/crates/dispatch/tests/suite/transfer.rs
+++ b/crates/dispatch/tests/suite/transfer.rs
@@ -5,19 +5,21 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use jacinthfall_core::history::Position;
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::transfer::{
-    Download, Edition, Error, MAX_DOCUMENT_BYTES, MAX_PIECE_BYTES, Piece, Slots,
+    Download, Edition, Error, MAX_DOCUMENT_BYTES, MAX_PIECE_BYTES, Piece, Rank, Slots,
 };
 use rand::seq::IndexedRandom;
 use rand::{Rng, RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-fn document(revision: u64, length: usize) -> (Edition, Bytes) {
+fn document(version: u64, length: usize) -> (Edition, Bytes) {
     let mut bytes = vec![0; length];
-    ChaCha8Rng::seed_from_u64(revision).fill_bytes(&mut bytes);
-    (Edition::of(revision, &bytes), bytes.into())
+    ChaCha8Rng::seed_from_u64(version).fill_bytes(&mut bytes);
+    let rank = Rank { version, at: Position::START };
+    (Edition::of(rank, &bytes), bytes.into())
 }
 
 /// Adds pieces of a document to a download, `pieces` at most.
@@ -28,8 +30,8 @@
     pieces: usize,
 ) -> Option<Bytes> {
     for _ in 0..pieces {
-        let at = download.position().filter(|position| position.edition == edition);
-        let piece = Piece::cut(edition, bytes, at.map_or(0, |position| position.offset));
+        let at = download.progress().filter(|progress| progress.edition == edition);
+        let piece = Piece::cut(edition, bytes, at.map_or(0, |progress| progress.offset));
         if let Some((_, complete)) = download.accept(&piece).expect("a fitting piece") {
             return Some(complete);
         }
@@ -47,7 +49,7 @@
 
     assert_eq!(early, None);
     assert_eq!(complete, Some(bytes));
-    assert_eq!(download.position(), None);
+    assert_eq!(download.progress(), None);
 }
 
 #[test]
@@ -187,7 +189,7 @@
             self.nodes[node].source = None;
             return Some(asked + DELAY);
         }
-        let offset = self.nodes[node].download.position().map_or(0, |position| position.offset);
+        let offset = self.nodes[node].download.progress().map_or(0, |progress| progress.offset);
         let piece = Piece::cut(self.edition, &self.bytes, offset);
         if piece.is_last() {
             self.nodes[source].slots.release(&name);
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -8,12 +8,13 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use bytes::Bytes;
-use http::{HeaderName, Method, Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto;
+use jacinthfall_adapter::header::STORE_ERA;
 use jacinthfall_adapter::message::{self, MAX_VALUE_BYTES};
 use jacinthfall_core::time::Time;
 use jacinthfall_net::clock::Clock;
@@ -32,9 +33,6 @@
 /// HTTP path of requests that change the faults and return the counters.
 const CONTROL: &str = "/control";
 
-/// Header of all responses: the number of times that the store returned to a copy.
-const ERA: HeaderName = HeaderName::from_static("store-era");
-
 /// Pause after a failed `accept`.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -173,7 +171,7 @@
                 Ok(response) => response,
             };
             let era = shared.lock().era;
-            response.headers_mut().insert(ERA, era.into());
+            response.headers_mut().insert(STORE_ERA, era.into());
             Ok(response)
         }
     });
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use jacinthfall_adapter::message::{Condition, MAX_VALUE_BYTES};
-use jacinthfall_adapter::store::{Client, Error, Put};
+use jacinthfall_adapter::message::{self, MAX_VALUE_BYTES};
+use jacinthfall_adapter::store::{Client, Condition, Error, Put};
+use jacinthfall_core::history::Position;
 use jacinthfall_core::time::Time;
 use jacinthfall_net::client::Client as Connection;
 use jacinthfall_standin::platform::Settings;
@@ -57,12 +58,27 @@
     Settings { latency: Duration::ZERO, ..Settings::default() }
 }
 
-/// Writes a key on the condition that it has revision `expect`.
-async fn swap(client: &Client, key: &str, expect: u64, value: &str) -> Result<u64, Error> {
-    let condition = Condition { key: key.into(), revision: expect };
+/// Place of a revision before any restore.
+fn at(revision: u64) -> Position {
+    Position::new(0, revision)
+}
+
+/// Writes a key on the condition that its last change is at `expect`.
+async fn swap_at(
+    client: &Client,
+    key: &str,
+    expect: Position,
+    value: &str,
+) -> Result<Position, Error> {
+    let condition = Condition { key: key.into(), at: expect };
     client.commit(&[condition], &[put(key, value, 0)], &[]).await
 }
 
+/// Writes a key on the condition that it has revision `expect`, before any restore.
+async fn swap(client: &Client, key: &str, expect: u64, value: &str) -> Result<u64, Error> {
+    Ok(swap_at(client, key, at(expect), value).await?.revision)
+}
+
 fn put(key: &str, value: &str, lease: u64) -> Put {
     Put { key: key.into(), value: Bytes::copy_from_slice(value.as_bytes()), lease }
 }
@@ -80,7 +96,7 @@
     let late = swap(&platform.client, "k", first, "c").await;
 
     let Err(Error::Conflict(present)) = late else { panic!("{late:?}") };
-    assert_eq!((present[0].revision, present[0].value.as_deref()), (second, Some(&b"b"[..])));
+    assert_eq!((present[0].at.revision, present[0].value.as_deref()), (second, Some(&b"b"[..])));
     assert_eq!(value(&platform.client, "k").await.as_deref(), Some(&b"b"[..]));
 }
 
@@ -88,7 +104,7 @@
 async fn transactions_are_atomic() {
     let platform = platform(settings()).await;
     swap(&platform.client, "a", 0, "1").await.unwrap();
-    let stale = [Condition { key: "a".into(), revision: 9 }];
+    let stale = [Condition { key: "a".into(), at: at(9) }];
     let puts = [put("b", "1", 0), put("c", "1", 0)];
 
     let rejected = platform.client.commit(&stale, &puts, &["a".into()]).await;
@@ -164,7 +180,7 @@
 
     let keys: Vec<_> = listing.items.iter().map(|item| item.key.clone()).collect();
     assert_eq!(keys, (0..count).map(key).collect::<Vec<_>>());
-    assert_eq!(listing.revision, count as u64);
+    assert_eq!(listing.at.revision, count as u64);
 }
 
 fn key(number: usize) -> Arc<str> {
@@ -179,9 +195,9 @@
 
     platform.change(Change { compact: true, ..Change::default() }).await;
 
-    let behind = platform.client.watch("k", 1, Duration::ZERO).await;
+    let behind = platform.client.watch("k", at(1), Duration::ZERO).await;
     assert!(matches!(behind, Err(Error::Compacted)), "{behind:?}");
-    let present = platform.client.watch("k", 2, Duration::ZERO).await.unwrap();
+    let present = platform.client.watch("k", at(2), Duration::ZERO).await.unwrap();
     assert!(present.events.is_empty());
 }
 
@@ -189,14 +205,14 @@
 async fn a_revoked_lease_removes_its_keys_and_cannot_be_used_again() {
     let platform = platform(settings()).await;
     let lease = platform.client.grant(Duration::from_secs(60)).await.unwrap();
-    platform.client.commit(&[], &[put("owner", "node-1", lease)], &[]).await.unwrap();
+    platform.client.commit(&[], &[put("owner", "node-1", lease.number)], &[]).await.unwrap();
     platform.client.renew(lease).await.unwrap();
 
     platform.client.revoke(lease).await.unwrap();
 
     assert_eq!(value(&platform.client, "owner").await, None);
     assert!(matches!(platform.client.renew(lease).await, Err(Error::LeaseEnded)));
-    let late = platform.client.commit(&[], &[put("owner", "node-1", lease)], &[]).await;
+    let late = platform.client.commit(&[], &[put("owner", "node-1", lease.number)], &[]).await;
     assert!(matches!(late, Err(Error::LeaseEnded)), "{late:?}");
 }
 
@@ -216,7 +232,7 @@
     let platform = platform(settings()).await;
     swap(&platform.client, "config/a", 0, "1").await.unwrap();
     let client = platform.client.clone();
-    let watch = tokio::spawn(async move { client.watch("config/", 1, WATCH_WAIT).await });
+    let watch = tokio::spawn(async move { client.watch("config/", at(1), WATCH_WAIT).await });
     platform.wait_for_waiting_watch().await;
 
     swap(&platform.client, "other", 0, "1").await.unwrap();
@@ -224,7 +240,7 @@
 
     let changes = bounded(watch).await.unwrap().unwrap();
     let keys: Vec<_> = changes.events.iter().map(|event| &*event.key).collect();
-    assert_eq!((keys, changes.revision), (vec!["config/b"], 3));
+    assert_eq!((keys, changes.at.revision), (vec!["config/b"], 3));
     assert_eq!(platform.change(Change::default()).await.watches_waiting, 0);
 }
 
@@ -232,7 +248,7 @@
 async fn an_outage_refuses_calls_and_fails_waiting_watches() {
     let platform = platform(settings()).await;
     let client = platform.client.clone();
-    let watch = tokio::spawn(async move { client.watch("config/", 0, WATCH_WAIT).await });
+    let watch = tokio::spawn(async move { client.watch("config/", at(0), WATCH_WAIT).await });
     platform.wait_for_waiting_watch().await;
 
     platform.change(Change { outage: Some(true), ..Change::default() }).await;
@@ -310,7 +326,7 @@
             let present = store.get(&key).map_or(0, |item| item.revision);
             let revision = if matches { present } else { present + 1 };
             let mut transaction = Transaction {
-                conditions: vec![Condition { key: key.clone(), revision }],
+                conditions: vec![message::Condition { key: key.clone(), revision }],
                 ..Transaction::default()
             };
             match value {
@@ -340,3 +356,85 @@
         prop_assert_eq!(mirror, listed);
     }
 }
+
+/// Lets the store return to its copy.
+async fn restore(platform: &Platform) {
+    platform.change(Change { restore: true, ..Change::default() }).await;
+}
+
+/// Starts a store with one key, takes a copy, and writes the key again.
+async fn copied() -> (Platform, Position) {
+    let platform = platform(settings()).await;
+    let first = swap_at(&platform.client, "k", at(0), "a").await.unwrap();
+    platform.change(Change { copy: true, ..Change::default() }).await;
+    let second = swap_at(&platform.client, "k", first, "b").await.unwrap();
+    (platform, second)
+}
+
+#[tokio::test]
+async fn a_restore_returns_to_the_copy_in_a_new_era() {
+    let (platform, before) = copied().await;
+
+    restore(&platform).await;
+    let item = platform.client.get("k").await.unwrap().unwrap();
+
+    assert_eq!((item.at, item.value.as_deref()), (Position::new(1, 1), Some(&b"a"[..])));
+    assert!(item.at > before);
+}
+
+#[tokio::test]
+async fn a_watch_from_before_a_restore_fails_whatever_the_revision() {
+    let (platform, before) = copied().await;
+    restore(&platform).await;
+
+    let below = platform.client.watch("k", before, Duration::ZERO).await;
+    swap_at(&platform.client, "other", at(0), "x").await.unwrap();
+    let reached = platform.client.watch("k", before, Duration::ZERO).await;
+
+    for watch in [below, reached] {
+        assert!(matches!(watch, Err(Error::Restored)), "{watch:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_waiting_watch_is_cut_by_a_restore() {
+    let (platform, before) = copied().await;
+    let client = platform.client.clone();
+    let watch = tokio::spawn(async move { client.watch("k", before, WATCH_WAIT).await });
+    platform.wait_for_waiting_watch().await;
+
+    restore(&platform).await;
+    let cut = bounded(watch).await.unwrap();
+
+    assert!(matches!(cut, Err(Error::Unknown(_))), "{cut:?}");
+}
+
+#[tokio::test]
+async fn a_condition_from_before_a_restore_does_not_hold_for_the_same_revision() {
+    let (platform, before) = copied().await;
+    restore(&platform).await;
+    let other = Client::open(platform.client.address());
+    let item = other.get("k").await.unwrap().unwrap();
+    let reused = swap_at(&other, "k", item.at, "c").await.unwrap();
+    assert_eq!(reused.revision, before.revision, "the revision is given out again");
+
+    let first = swap_at(&platform.client, "k", before, "d").await;
+    let second = swap_at(&platform.client, "k", before, "e").await;
+
+    assert!(matches!(first, Err(Error::Unknown(_))), "it may have been written: {first:?}");
+    assert!(matches!(second, Err(Error::Restored)), "{second:?}");
+}
+
+#[tokio::test]
+async fn a_lease_from_before_a_restore_is_void() {
+    let (platform, _) = copied().await;
+    let lease = platform.client.grant(WATCH_WAIT).await.unwrap();
+    restore(&platform).await;
+    let other = Client::open(platform.client.address());
+    let reused = other.grant(WATCH_WAIT).await.unwrap();
+    assert_eq!(reused.number, lease.number, "the number is given out again");
+
+    let renewal = platform.client.renew(lease).await;
+
+    assert!(matches!(renewal, Err(Error::Restored)), "{renewal:?}");
+}
--- a/src/daemon/change.rs
+++ b/src/daemon/change.rs
@@ -8,9 +8,9 @@
 use std::sync::Arc;
 
 use http::StatusCode;
-use jacinthfall_adapter::message::Condition;
-use jacinthfall_adapter::store::{Item, Put as Write};
+use jacinthfall_adapter::store::{Condition, Item, Put as Write};
 use jacinthfall_config as config;
+use jacinthfall_core::history::Position;
 use jacinthfall_core::id;
 use jacinthfall_core::profile::Profile;
 use jacinthfall_core::record::{self, Body as RecordBody, Change, Document};
@@ -118,8 +118,8 @@
         let body = RecordBody::Profile(Arc::clone(&profile));
         let document = Document::next(previous.as_ref(), key.clone(), change.clone(), body);
         let value = serde_json::to_vec(&document).expect("the keys of a document are strings");
-        let revision = item.map_or(0, |item| item.revision);
-        let condition = Condition { key: key.clone(), revision };
+        let at = item.map_or(Position::START, |item| item.at);
+        let condition = Condition { key: key.clone(), at };
         let write = Write { key: key.clone(), value: value.into(), lease: 0 };
         let (conditions, writes) = ([condition], [write]);
         let commit = context.platform.commit(&conditions, &writes, &[]);
--- a/src/daemon/context.rs
+++ b/src/daemon/context.rs
@@ -8,7 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError, RwLock, RwLockReadGuard};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock, RwLockReadGuard};
 
 use crossbeam::channel::Sender;
 use jacinthfall_adapter::store::Client as Platform;
@@ -102,6 +102,8 @@
     pub peers: Peers,
     /// Client of the platform's store.
     pub platform: Platform,
+    /// Era of the store at its first answer to this process.
+    pub claims_era: OnceLock<u64>,
     /// Runtime that serves the sockets.
     pub runtime: Handle,
     /// Next token that [`Context::token`] returns.
@@ -124,6 +126,11 @@
         claim::Now { time: self.clock.time(), wall: self.clock.wall() }
     }
 
+    /// Returns the era of the store whose claims are trusted: the one of its first answer.
+    pub fn claims_era(&self) -> u64 {
+        *self.claims_era.get_or_init(|| self.platform.era())
+    }
+
     /// Records an event in the timeline, with the request that it belongs to.
     pub fn record(&self, request: Option<id::Request>, kind: Kind) {
         self.record_event(Event { request, kind });
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -34,7 +34,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
-use std::sync::{Arc, Mutex, RwLock};
+use std::sync::{Arc, Mutex, OnceLock, RwLock};
 
 use crossbeam::channel::unbounded;
 use http::HeaderValue;
@@ -202,6 +202,7 @@
         leafs: Leafs::open(runtime.handle().clone(), jobs.clone()),
         peers: Peers::open(runtime.handle().clone(), token),
         platform: Platform::open(settings.platform.address),
+        claims_era: OnceLock::new(),
         runtime: runtime.handle().clone(),
         tokens: AtomicU64::new(1),
         jobs,
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use jacinthfall_adapter::message::Condition;
-use jacinthfall_adapter::store::{Error, Item, Put};
+use jacinthfall_adapter::store::{Condition, Error, Item, Put};
 use jacinthfall_claim as claim;
 use jacinthfall_config as config;
+use jacinthfall_core::history::Position;
 use jacinthfall_core::id;
 use jacinthfall_core::record::{Document, PREFIX, Record};
 use jacinthfall_member as member;
@@ -22,9 +22,9 @@
 /// Key prefix of the node entries.
 const NODE_PREFIX: &str = "jacinthfall/vms/";
 
-/// Watches the store for configuration changes after revision `after`; reports the
+/// Watches the store for configuration changes after the place `after`; reports the
 /// result as a job for the configuration engine.
-pub fn watch(context: &Arc<Context>, after: u64) {
+pub fn watch(context: &Arc<Context>, after: Position) {
     let context = Arc::clone(context);
     context.runtime.clone().spawn(async move {
         counter!("jacinthfall_store_watches_total").increment(1);
@@ -39,20 +39,19 @@
     });
 }
 
-/// Waits for changes. Lists the whole configuration if the store has compacted the
-/// revisions after `after`.
-async fn read_changes(context: &Context, after: u64) -> Result<config::Event, Error> {
-    let (items, last_revision) =
-        match context.platform.watch(PREFIX, after, config::WATCH_WAIT).await {
-            Ok(changes) => (changes.events, changes.revision),
-            Err(Error::Compacted) => {
-                let listing = context.platform.list(PREFIX).await?;
-                (listing.items, listing.revision)
-            }
-            Err(error) => return Err(error),
-        };
+/// Waits for changes. Lists the whole configuration if the store no longer has those after
+/// `after`.
+async fn read_changes(context: &Context, after: Position) -> Result<config::Event, Error> {
+    let (items, upto) = match context.platform.watch(PREFIX, after, config::WATCH_WAIT).await {
+        Ok(changes) => (changes.events, changes.at),
+        Err(Error::Compacted | Error::Restored) => {
+            let listing = context.platform.list(PREFIX).await?;
+            (listing.items, listing.at)
+        }
+        Err(error) => return Err(error),
+    };
     let records = items.iter().filter_map(parse_record).collect();
-    Ok(config::Event::Stored { records, revision: last_revision })
+    Ok(config::Event::Stored { records, upto })
 }
 
 fn parse_record(item: &Item) -> Option<Record> {
@@ -77,12 +76,12 @@
         counter!("jacinthfall_store_reads_total").increment(1);
         let result = match context.platform.get(&key).await {
             Ok(item) => claim::Completion::Value {
-                revision: item.as_ref().map_or(0, |item| item.revision),
+                revision: item.as_ref().map_or(0, |item| item.at.revision),
                 value: item.and_then(|item| item.value).map(Vec::from),
             },
             Err(error) => error_completion(&error),
         };
-        context.post(Job::Claim(claim::Event::CallEnded { call, result }));
+        end_call(&context, call, result);
     });
 }
 
@@ -91,28 +90,51 @@
     let context = Arc::clone(context);
     context.runtime.clone().spawn(async move {
         counter!("jacinthfall_store_swaps_total").increment(1);
-        let condition = Condition { key: key.clone(), revision: expect };
+        let at = Position::new(context.claims_era(), expect);
+        let condition = Condition { key: key.clone(), at };
         let put = Put { key, value: value.into(), lease: 0 };
         let result = match context.platform.commit(&[condition], &[put], &[]).await {
-            Ok(revision) => claim::Completion::Swapped { revision },
+            Ok(written) => claim::Completion::Swapped { revision: written.revision },
             Err(Error::Conflict(present)) => {
-                let revision = present.first().map_or(0, |item| item.revision);
+                let revision = present.first().map_or(0, |item| item.at.revision);
                 claim::Completion::Conflict { revision }
             }
             Err(error) => error_completion(&error),
         };
-        context.post(Job::Claim(claim::Event::CallEnded { call, result }));
+        end_call(&context, call, result);
     });
 }
 
+/// Reports the result of a call to the claim engine. A store that has returned from an older copy
+/// may have lost claims, so what it says of them is unknown.
+fn end_call(context: &Context, call: u64, result: claim::Completion) {
+    let is_answer = !matches!(result, claim::Completion::Refused | claim::Completion::Unknown);
+    let era = context.platform.era();
+    let result = if !is_answer || era == context.claims_era() {
+        result
+    } else {
+        let trusted = context.claims_era();
+        counter!("jacinthfall_store_claims_distrusted_total").increment(1);
+        log::warn!(
+            "claims in the store are not trusted: it returned from an older copy (era {era} after \
+             {trusted}); restart this node once the requests from before have expired"
+        );
+        claim::Completion::Unknown
+    };
+    context.post(Job::Claim(claim::Event::CallEnded { call, result }));
+}
+
 /// Counts a store error and converts it for the claim engine.
 fn error_completion(error: &Error) -> claim::Completion {
     counter!("jacinthfall_store_failures_total").increment(1);
     match error {
         Error::Refused(_) => claim::Completion::Refused,
-        Error::Unknown(_) | Error::Compacted | Error::LeaseEnded | Error::Conflict(_) => {
-            claim::Completion::Unknown
-        }
+        Error::Unknown(_)
+        | Error::Era(_)
+        | Error::Compacted
+        | Error::Restored
+        | Error::LeaseEnded
+        | Error::Conflict(_) => claim::Completion::Unknown,
     }
 }
 
@@ -166,6 +188,8 @@
             log::warn!("the list of nodes in the store is {state}");
         }
         if let Ok(listing) = result {
+            // The first answer after the start decides which claims are trusted.
+            context.claims_era();
             let vms = listing.items.iter().filter_map(parse_vm).collect();
             context.post(Job::Member(member::Event::Vms(vms)));
         }
--- a/src/gateway/audit/lines.rs
+++ b/src/gateway/audit/lines.rs
@@ -6,7 +6,8 @@
 use jacinthfall_dispatch::flight::{Answer, Event, Flight, Step};
 
 use super::Request;
-use crate::gateway::hub::{Hub, Tables};
+use crate::gateway::hub::Hub;
+use crate::gateway::tables::Tables;
 
 /// Maximum length of a text from a caller in a log line, in characters.
 const MAX_TEXT_CHARS: usize = 128;
@@ -72,7 +73,7 @@
         request.deadline.since(request.arrived).as_millis(),
         request.spent.as_millis(),
         request.version,
-        tables.time_behind(now).as_millis(),
+        tables.ranks.time_behind(now).as_millis(),
         tables.upto,
         now.since(tables.confirmed).as_millis(),
     ));
--- a/src/gateway/audit/mod.rs
+++ b/src/gateway/audit/mod.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use http::{HeaderValue, StatusCode};
+use jacinthfall_core::history::Position;
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::fleet::{Change, Ending, Key};
@@ -157,7 +158,7 @@
         let Some(passed_over) = lock(&self.0).failed.admit(hub.now()) else { return };
         let (version, behind, upto) = {
             let tables = hub.tables();
-            (tables.version(), tables.time_behind(hub.now()).as_millis(), tables.upto)
+            (tables.version(), tables.ranks.time_behind(hub.now()).as_millis(), tables.upto)
         };
         let id = id.map(header_text).unwrap_or_default();
         let status = status.as_u16();
@@ -201,7 +202,7 @@
         let now = hub.now();
         for id in changed {
             let Some(passed_over) = lock(&self.0).states.admit(now) else { continue };
-            let (state, revision) = {
+            let (state, at) = {
                 let tables = hub.tables();
                 let record = tables.catalog.record(id);
                 let entry = record.and_then(|record| record.entry.as_ref());
@@ -209,10 +210,10 @@
                     State::Ready => "ready",
                     State::Draining => "draining",
                 });
-                (state, record.map_or(0, |record| record.revision))
+                (state, record.map_or(Position::START, |record| record.at))
             };
             log::info!(
-                "event=leaf id={id} state={state} revision={revision} source={source} \
+                "event=leaf id={id} state={state} at={at} source={source} \
                  passed_over={passed_over}"
             );
         }
--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -3,7 +3,7 @@
 use std::io::{self, Read};
 
 use bytes::Bytes;
-use jacinthfall_dispatch::transfer::Edition;
+use jacinthfall_dispatch::transfer::{Edition, Rank};
 
 /// Level of compression: a fraction of a core compresses a megabyte in tens of milliseconds.
 const LEVEL: i32 = 3;
@@ -14,7 +14,7 @@
 /// A configuration document.
 #[derive(Clone, Debug)]
 pub struct Document {
-    /// Revision and form of `packed`.
+    /// Rank and form of `packed`.
     pub edition: Edition,
     /// The compressed text.
     pub packed: Bytes,
@@ -31,13 +31,14 @@
     ///
     /// ```
     /// use jacinthfall::gateway::document::Document;
-    /// let stored = Document::pack(7, b"{}".as_slice().into()).unwrap();
+    /// use jacinthfall_dispatch::transfer::Rank;
+    /// let stored = Document::pack(Rank::default(), b"{}".as_slice().into()).unwrap();
     /// let received = Document::unpack(stored.edition, stored.packed.clone()).unwrap();
     /// assert_eq!(received.text, stored.text);
     /// ```
-    pub fn pack(revision: u64, text: Bytes) -> io::Result<Document> {
+    pub fn pack(rank: Rank, text: Bytes) -> io::Result<Document> {
         let packed: Bytes = zstd::bulk::compress(&text, LEVEL)?.into();
-        Ok(Document { edition: Edition::of(revision, &packed), packed, text })
+        Ok(Document { edition: Edition::of(rank, &packed), packed, text })
     }
 
     /// Decompresses a document that another node sent.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -61,6 +61,11 @@
     );
     describe_gauge!("jacinthfall_nodes", "Nodes that share the bound on extra sends");
     describe_gauge!("jacinthfall_requests_in_hand", "Requests without an answer yet");
+    describe_counter!(
+        "jacinthfall_store_restores_total",
+        "Times that the store returned from an older copy"
+    );
+    describe_gauge!("jacinthfall_store_era", "Era of the store that this node knows");
     describe_gauge!("jacinthfall_store_answers", "Whether the store answered the last call");
     Ok(handle)
 }
@@ -81,8 +86,9 @@
     let now = hub.now();
     let mut tables = hub.tables();
     gauge!("jacinthfall_configuration_version").set(tables.version() as f64);
-    let behind = tables.time_behind(now).as_secs_f64();
+    let behind = tables.ranks.time_behind(now).as_secs_f64();
     gauge!("jacinthfall_configuration_behind_seconds").set(behind);
+    gauge!("jacinthfall_store_era").set(tables.upto.era as f64);
     gauge!("jacinthfall_leafs_usable").set(tables.catalog.usable().count() as f64);
     gauge!("jacinthfall_nodes").set(tables.nodes as f64);
     let age = now.since(tables.confirmed);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,7 +9,7 @@
 //! follows the platform's store, and [`peers`] exchanges data with the other nodes,
 //! the configuration as a compressed [`document`].
 //! [`addresses`] serves the address lookup, readiness and metrics; [`audit`] writes the log
-//! lines about requests. The tasks share the state in [`hub`]. Decisions are made in
+//! lines about requests. The tasks share the state in [`hub`], most of it [`tables`]. Decisions are made in
 //! `jacinthfall-dispatch`, under one lock ([`hub::Hub::tables`]).
 
 pub mod addresses;
@@ -25,6 +25,7 @@
 pub mod settings;
 pub mod stop;
 pub mod store;
+pub mod tables;
 
 use std::io;
 use std::sync::Arc;
--- a/src/gateway/peers/configuration.rs
+++ b/src/gateway/peers/configuration.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use jacinthfall_core::id;
-use jacinthfall_dispatch::transfer::{Download, Piece, Position};
+use jacinthfall_dispatch::transfer::{Download, Piece, Progress, Rank};
 use metrics::counter;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -28,10 +28,10 @@
 pub(super) struct Query {
     /// Name of the node that asks.
     node: id::Name,
-    /// Store revision of the latest document that it has; 0 if it has none yet.
-    revision: u64,
+    /// Rank of the latest configuration that it has examined.
+    rank: Rank,
     /// How far it is with a later one.
-    position: Option<Position>,
+    progress: Option<Progress>,
 }
 
 /// Reply to a [`Query`].
@@ -51,15 +51,15 @@
     let mut tables = hub.tables();
     let Some(known) = &tables.configuration else { return Reply::Nothing };
     let (edition, packed) = (known.edition, known.packed.clone());
-    let wanted = query.position.map_or(query.revision + 1, |at| at.edition.revision);
-    if edition.revision < wanted || edition.revision <= query.revision {
+    let begun = query.progress.map(|progress| progress.edition.rank).unwrap_or_default();
+    if edition.rank <= query.rank || edition.rank < begun {
         return Reply::Nothing;
     }
     if !tables.slots.admit(now, &query.node) {
         return Reply::Busy;
     }
-    let position = query.position.filter(|position| position.edition == edition);
-    let piece = Piece::cut(edition, &packed, position.map_or(0, |position| position.offset));
+    let progress = query.progress.filter(|progress| progress.edition == edition);
+    let piece = Piece::cut(edition, &packed, progress.map_or(0, |progress| progress.offset));
     if piece.is_last() {
         tables.slots.release(&query.node);
     }
@@ -108,11 +108,11 @@
         match outcome {
             Ok(Outcome::Complete(document)) => {
                 failed.clear();
-                hub.configure(&document, "peer");
+                hub.configure_from_peer(&document);
             }
             Ok(Outcome::Unavailable(_)) => failed.push(source),
             Err(error) => {
-                let arrived = download.position().map_or(0, |position| position.offset);
+                let arrived = download.progress().map_or(0, |progress| progress.offset);
                 log::info!(
                     "event=transfer_failed peer={source} arrived_bytes={arrived} \
                      reason=\"{error}\""
@@ -127,9 +127,9 @@
 /// of them can continue.
 fn sources(hub: &Hub, download: &mut Download) -> Vec<SocketAddr> {
     let tables = hub.tables();
-    let sources = tables.roster.configuration_sources(hub.now(), &hub.own, tables.examined);
-    if let Some(position) = download.position()
-        && !sources.iter().any(|member| member.configuration >= position.edition.revision)
+    let sources = tables.roster.configuration_sources(hub.now(), &hub.own, tables.ranks.examined());
+    if let Some(progress) = download.progress()
+        && !sources.iter().any(|member| member.configuration >= progress.edition.rank)
     {
         download.clear();
     }
@@ -144,11 +144,10 @@
     }
     let now = hub.now();
     let tables = hub.tables();
-    let expected = tables.expected.as_ref()?;
     if !tables.roster.is_follower_of_store(now, &hub.own) {
         return None;
     }
-    let left = MAX_WATCH_LAG.saturating_sub(now.since(expected.since));
+    let left = MAX_WATCH_LAG.saturating_sub(tables.ranks.time_behind(now));
     (!left.is_zero()).then_some(left)
 }
 
@@ -162,8 +161,8 @@
     loop {
         let query = Query {
             node: hub.own.name.clone(),
-            revision: hub.tables().examined,
-            position: download.position(),
+            rank: hub.tables().ranks.examined(),
+            progress: download.progress(),
         };
         let piece = match peer.ask(PATH, &query).await? {
             Reply::Piece(piece) => piece,
--- a/src/gateway/peers/exchange.rs
+++ b/src/gateway/peers/exchange.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use jacinthfall_core::history::Position;
 use jacinthfall_dispatch::catalog::Delta;
 use jacinthfall_dispatch::roster::Node;
+use jacinthfall_dispatch::transfer::Rank;
 use metrics::{counter, histogram};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
@@ -19,34 +21,38 @@
 /// Pause between two exchanges.
 const EXCHANGE_PAUSE: Duration = Duration::from_millis(150);
 
-/// Request of an exchange: asks a node for changes after a revision.
+/// Request of an exchange: asks a node for changes after a place.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct Query {
-    /// Store revision up to which the sender of the query knows all changes.
-    upto: u64,
+    /// Place in the store's history up to which the sender of the query knows all changes.
+    upto: Position,
 }
 
-/// Response of an exchange: the changes after the revision of the query.
+/// Response of an exchange: the changes after the place in the query.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct Updates {
-    /// Store revision of the latest configuration that is known to exist; 0 if there is none.
-    configuration: u64,
+    /// Rank of the latest configuration that is known to exist.
+    configuration: Rank,
     /// Changed registrations of leafs.
     leafs: Delta,
-    /// Store revision up to which the responding node knows all changes.
-    upto: u64,
-    /// All nodes, the responding one included, if the query's revision is 0; else empty.
+    /// Place in the store's history up to which the responding node knows all changes.
+    upto: Position,
+    /// All nodes, the responding one included, if the node that asks knows nothing yet; else
+    /// empty.
     nodes: Vec<Node>,
 }
 
-/// Returns the changes after the revision of a query, as far as this node knows them.
+/// Returns the changes after the place in a query, as far as this node knows them.
 pub(super) fn collect_updates(hub: &Hub, query: &Query) -> Updates {
     let tables = hub.tables();
     let others = tables.roster.members().map(|member| member.node.clone());
-    let nodes =
-        if query.upto == 0 { others.chain([hub.own.clone()]).collect() } else { Vec::new() };
+    let nodes = if query.upto == Position::START {
+        others.chain([hub.own.clone()]).collect()
+    } else {
+        Vec::new()
+    };
     Updates {
-        configuration: tables.latest_configuration(),
+        configuration: tables.ranks.latest(),
         leafs: tables.catalog.changes_since(query.upto),
         upto: tables.upto,
         nodes,
@@ -73,27 +79,35 @@
 }
 
 async fn fetch_updates(hub: &Hub, peer: SocketAddr) -> Result<Updates, Error> {
-    let query = Query { upto: hub.tables().upto };
+    let query = {
+        let tables = hub.tables();
+        Query { upto: if tables.unverified.is_some() { Position::START } else { tables.upto } }
+    };
     Peer::open(peer).await?.ask(PATH, &query).await
 }
 
 fn merge_updates(hub: &Arc<Hub>, updates: Updates, peer: SocketAddr) {
     hub.expect_configuration(updates.configuration);
     let now = hub.now();
-    let (changed, first) = {
+    let (before, changed, first) = {
         let mut tables = hub.tables();
+        let before = tables.upto;
+        tables.unverified = None;
         let changed = tables.catalog.merge(now, updates.leafs, updates.upto);
-        let first = tables.upto == 0 && updates.upto > 0;
+        let first = tables.upto == Position::START && updates.upto > Position::START;
         tables.upto = tables.upto.max(updates.upto);
         for node in updates.nodes.into_iter().filter(|node| node.name != hub.own.name) {
             if !tables.roster.members().any(|member| member.node.name == node.name) {
                 tables.roster.add_known(now, node);
             }
         }
-        (changed, first)
+        (before, changed, first)
     };
+    hub.record_restore(before, "peer");
     if first || !changed.is_empty() {
         log::info!("event=leafs_from_peer peer={peer} upto={}", updates.upto);
         hub.apply_leaf_changes(&changed, "peer");
+    } else {
+        hub.serve_if_ready();
     }
 }
--- a/src/gateway/peers/heartbeats.rs
+++ b/src/gateway/peers/heartbeats.rs
@@ -69,7 +69,7 @@
         node: hub.own.clone(),
         phase: tables.phase,
         upto: tables.upto,
-        configuration: tables.configuration_revision(),
+        configuration: tables.ranks.in_force(),
         store_answers: hub.store_answers.load(Ordering::Relaxed),
         active: tables.is_active(),
         load: load.min(f64::from(u16::MAX)) as u16,
@@ -112,7 +112,8 @@
             if beat.store_answers && beat.upto <= tables.upto {
                 tables.confirmed = now;
             }
-            let ahead = beat.upto > tables.upto;
+            let verifies = tables.unverified.is_some() && beat.phase == Phase::Serving;
+            let ahead = beat.upto > tables.upto || verifies;
             (ahead, ahead && tables.roster.is_follower_of_store(now, &hub.own))
         };
         if !ahead {
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -1,19 +1,21 @@
 //! Follows the changes in the platform's store and keeps this node registered there.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use jacinthfall_adapter::store::{Changes, Client, Error, Item};
 use jacinthfall_adapter::{configuration, registry};
+use jacinthfall_core::history::Position;
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::catalog::Record;
 use jacinthfall_dispatch::roster::Node;
 use metrics::{counter, histogram};
 
-use super::document::Document;
 use super::hub::Hub;
+use super::tables::MAX_PEER_WAIT;
 use crate::registration::{self, Backoff, Entry};
 
 /// Prefix of the keys of the nodes' registrations.
@@ -75,9 +77,11 @@
 fn record_result<T>(hub: &Hub, call: &'static str, result: &Result<T, Error>) {
     let outcome = match result {
         Ok(_) => "ok",
-        Err(Error::Compacted | Error::LeaseEnded | Error::Conflict(_)) => "rejected",
+        Err(Error::Compacted | Error::Restored | Error::LeaseEnded | Error::Conflict(_)) => {
+            "rejected"
+        }
         Err(Error::Refused(_)) => "refused",
-        Err(Error::Unknown(_)) => "unknown",
+        Err(Error::Unknown(_) | Error::Era(_)) => "unknown",
     };
     hub.audit.count_store_call(call);
     counter!("jacinthfall_store_calls_total", "call" => call, "outcome" => outcome).increment(1);
@@ -105,7 +109,7 @@
     let mut backoff = Backoff::open();
     wait_for_peers(&hub).await;
     loop {
-        if hub.tables().upto == 0 && list(&hub, &client).await.is_err() {
+        if hub.tables().upto == Position::START && list(&hub, &client).await.is_err() {
             backoff.pause().await;
             continue;
         }
@@ -126,7 +130,7 @@
 async fn follow_once(hub: &Arc<Hub>, client: &Client) -> Result<(), Error> {
     let passed_over = {
         let tables = hub.tables();
-        tables.expected.is_some_and(|expected| expected.revision <= tables.upto)
+        tables.ranks.is_passed_over(tables.upto)
     };
     if passed_over && let Some(item) = measure(hub, "get", client.get(configuration::KEY)).await? {
         apply_configuration(hub, &item);
@@ -142,12 +146,12 @@
         return;
     }
     let end = hub.instant(hub.now() + MAX_PEERS_WAIT);
-    while hub.tables().upto == 0 && tokio::time::Instant::now() < end {
+    while hub.tables().upto == Position::START && tokio::time::Instant::now() < end {
         tokio::time::sleep(PEERS_POLL_INTERVAL).await;
     }
 }
 
-/// Makes one watch call, from the revision up to which all changes are known.
+/// Makes one watch call, from the place up to which all changes are known.
 async fn watch(hub: &Arc<Hub>, client: &Client) -> Result<(), Error> {
     let upto = hub.tables().upto;
     let changed = hub.store_changed.notified();
@@ -165,8 +169,9 @@
             }
             Ok(())
         }
-        Err(Error::Compacted) => {
-            log::info!("event=history_dropped revision={upto}");
+        Err(error @ (Error::Compacted | Error::Restored)) => {
+            let restored = matches!(error, Error::Restored);
+            log::info!("event=history_dropped upto={upto} restored={restored}");
             list(hub, client).await
         }
         Err(error) => Err(error),
@@ -176,27 +181,44 @@
 /// Reads all keys.
 async fn list(hub: &Arc<Hub>, client: &Client) -> Result<(), Error> {
     let listing = measure(hub, "list", client.list(ALL_KEYS)).await?;
-    let mut listed = Vec::new();
+    let mut leafs = Vec::new();
+    let mut nodes = HashSet::new();
     for item in &listing.items {
-        if item.key.starts_with(NODE_PREFIX) {
+        if let Some(name) = item.key.strip_prefix(NODE_PREFIX) {
+            nodes.insert(name.into());
             apply_node(hub, item);
         } else if let Some(leaf) = decode_leaf(item) {
-            listed.push(leaf);
+            leafs.push(leaf);
         } else {
             apply_configuration(hub, item);
         }
     }
     let now = hub.now();
-    let changed = {
+    let (before, changed) = {
         let mut tables = hub.tables();
-        tables.upto = tables.upto.max(listing.revision);
-        tables.confirmed = now;
-        tables.catalog.apply_listing(now, listed, listing.revision)
+        let before = tables.upto;
+        if before == Position::START && listing.at.era > 0 {
+            tables.unverified = Some(now);
+            tokio::spawn(serve_later(Arc::clone(hub)));
+        }
+        if listing.at >= before {
+            tables.roster.retain_registrations(&nodes);
+            tables.confirmed = now;
+        }
+        tables.upto = before.max(listing.at);
+        (before, tables.catalog.apply_listing(now, leafs, listing.at))
     };
+    hub.record_restore(before, "store");
     hub.apply_leaf_changes(&changed, "store");
     Ok(())
 }
 
+/// Starts to serve when other nodes have not answered in time.
+async fn serve_later(hub: Arc<Hub>) {
+    tokio::time::sleep(MAX_PEER_WAIT).await;
+    hub.serve_if_ready();
+}
+
 /// Applies the changes that a watch returned.
 fn apply(hub: &Arc<Hub>, changes: Changes) {
     let mut changed = Vec::new();
@@ -214,7 +236,7 @@
     }
     {
         let mut tables = hub.tables();
-        tables.upto = tables.upto.max(changes.revision);
+        tables.upto = tables.upto.max(changes.at);
         tables.confirmed = now;
     }
     if !changed.is_empty() {
@@ -227,20 +249,14 @@
 fn decode_leaf(item: &Item) -> Option<(id::Name, Record)> {
     let id = item.key.strip_prefix(registry::PREFIX)?;
     let entry = item.value.as_ref().and_then(|value| registry::decode(value));
-    Some((id.into(), Record { revision: item.revision, entry }))
+    Some((id.into(), Record::of(item.at, entry)))
 }
 
 fn apply_configuration(hub: &Arc<Hub>, item: &Item) {
-    if &*item.key != configuration::KEY || item.revision <= hub.tables().examined {
-        return;
-    }
-    let Some(text) = &item.value else { return };
-    match Document::pack(item.revision, text.clone()) {
-        Ok(document) => hub.configure(&document, "store"),
-        Err(error) => log::error!(
-            "event=configuration_unreadable revision={} reason=\"{error}\"",
-            item.revision
-        ),
+    if &*item.key == configuration::KEY
+        && let Some(text) = &item.value
+    {
+        hub.configure_from_store(item.at, text);
     }
 }
 
--- /dev/null
+++ b/src/gateway/tables.rs
@@ -0,0 +1,216 @@
+//! State that decisions depend on: what this node knows of the configuration, leafs and nodes.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use jacinthfall_core::history::Position;
+use jacinthfall_core::id;
+use jacinthfall_core::time::Time;
+use jacinthfall_dispatch::budget::Budget;
+use jacinthfall_dispatch::caller_timeout::Estimator;
+use jacinthfall_dispatch::catalog::Catalog;
+use jacinthfall_dispatch::configuration::Ranks;
+use jacinthfall_dispatch::fleet::{Fleet, Key, connections_per_node};
+use jacinthfall_dispatch::flight::Context;
+use jacinthfall_dispatch::latency::Latency;
+use jacinthfall_dispatch::roster::{Phase, Roster};
+use jacinthfall_dispatch::split::Selector;
+use jacinthfall_dispatch::transfer::{Edition, Slots};
+use jacinthfall_route::snapshot::{Route, Snapshot};
+
+use super::document::Document;
+use super::hub::MAINTENANCE_INTERVAL;
+
+/// Maximum time that a starting node which read a restored store waits for another node to say
+/// what it knows.
+pub const MAX_PEER_WAIT: Duration = Duration::from_millis(100);
+
+/// Maximum time that a starting node waits for a later configuration, which others have in force.
+const MAX_CONFIGURATION_WAIT: Duration = Duration::from_secs(2);
+
+/// Number of maintenance intervals over which [`Meter`] counts parts.
+const METER_TICKS: usize = 6;
+
+/// Minimum parts per second at which the node counts as used by callers. Probes cause fewer.
+const MIN_ACTIVE_PARTS_PER_SECOND: f64 = 4.0;
+
+/// Expected response time before any was measured, as a share of the route's latency objective.
+const INITIAL_LATENCY_SHARE: f64 = 0.2;
+
+/// The configuration in force.
+#[derive(Clone, Debug)]
+pub struct Configuration {
+    /// Rank of the document and the form in which it is sent to other nodes.
+    pub edition: Edition,
+    /// The document in that form.
+    pub packed: Bytes,
+    /// The decoded document.
+    pub snapshot: Arc<Snapshot>,
+}
+
+/// Measures the rate of parts over the latest `METER_TICKS` maintenance intervals.
+#[derive(Debug, Default)]
+pub struct Meter {
+    /// Number of parts in each of the latest intervals, newest first.
+    ticks: [u32; METER_TICKS],
+}
+
+impl Meter {
+    /// Counts a part.
+    pub fn add(&mut self) {
+        self.ticks[0] += 1;
+    }
+
+    /// Starts the next interval.
+    pub fn tick(&mut self) {
+        self.ticks.rotate_right(1);
+        self.ticks[0] = 0;
+    }
+
+    /// Returns the number of parts per second.
+    #[must_use]
+    pub fn rate(&self) -> f64 {
+        let parts: u32 = self.ticks.iter().sum();
+        f64::from(parts) / (MAINTENANCE_INTERVAL.as_secs_f64() * METER_TICKS as f64)
+    }
+}
+
+/// Statistics of a route's past requests, which decisions on later ones use.
+#[derive(Debug)]
+pub struct Statistics {
+    /// Response times of leafs.
+    pub latency: Latency,
+    /// Distributes the requests of a split route over its services.
+    pub selector: Selector,
+    /// Estimates the timeouts of callers.
+    pub caller_timeout: Estimator,
+}
+
+impl Statistics {
+    fn open(route: &Route) -> Statistics {
+        let latency = Latency::open(route.objective.mul_f64(INITIAL_LATENCY_SHARE));
+        Statistics { latency, selector: Selector::default(), caller_timeout: Estimator::default() }
+    }
+}
+
+/// Returns the statistics of a route; creates them if there are none yet.
+fn statistics<'a>(
+    routes: &'a mut HashMap<id::Name, Statistics>,
+    route: &Route,
+) -> &'a mut Statistics {
+    routes.entry(route.name.clone()).or_insert_with(|| Statistics::open(route))
+}
+
+/// State that decisions depend on.
+#[derive(Debug)]
+pub struct Tables {
+    /// The configuration in force.
+    pub configuration: Option<Configuration>,
+    /// Ranks of the configuration in force and of later ones.
+    pub ranks: Ranks,
+    /// Nodes that the configuration in force is being sent to.
+    pub slots: Slots,
+    /// Registrations of leafs.
+    pub catalog: Catalog,
+    /// Place in the store's history up to which all changes are known, but for a configuration
+    /// that is expected; the start if nothing is known yet.
+    pub upto: Position,
+    /// Set after this node has read a store that was restored once, until another node has said
+    /// what it knows: since when.
+    pub unverified: Option<Time>,
+    /// When the store, or a node whose calls the store answers, last confirmed that there are no
+    /// later changes.
+    pub confirmed: Time,
+    /// Leafs that requests are sent to.
+    pub fleet: Fleet,
+    /// Budget of retries and hedged sends.
+    pub budget: Budget,
+    /// Statistics by route.
+    pub routes: HashMap<id::Name, Statistics>,
+    /// The other nodes.
+    pub roster: Roster,
+    /// Number of nodes that share the connections of leafs and the retry budget.
+    pub nodes: usize,
+    /// Rate of parts sent to leafs.
+    pub parts: Meter,
+    /// Lifecycle phase of this node.
+    pub phase: Phase,
+}
+
+impl Tables {
+    /// Returns the state that decisions on a request of a route depend on.
+    pub fn context(&mut self, route: &Route) -> Context<'_> {
+        // A node that callers don't use isn't one of the nodes that `nodes` counts.
+        let sharing =
+            if self.is_active() { self.nodes } else { self.nodes.max(self.roster.len() + 1) };
+        self.budget.set_nodes(sharing);
+        let Tables { routes, fleet, budget, .. } = self;
+        Context { fleet, budget, latency: &statistics(routes, route).latency }
+    }
+
+    /// Returns the version of the configuration in force; 0 if there is none yet.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |known| known.snapshot.version)
+    }
+
+    /// Whether this node knows enough to serve. A node that starts waits for what the others know
+    /// of, for a limited time.
+    #[must_use]
+    pub fn is_ready(&self, now: Time) -> bool {
+        let waits_for_peers = self.unverified.is_some_and(|since| now.since(since) < MAX_PEER_WAIT)
+            && !self.roster.is_empty();
+        let waits_for_configuration =
+            self.ranks.is_behind() && self.ranks.time_behind(now) < MAX_CONFIGURATION_WAIT;
+        self.configuration.is_some()
+            && self.upto > Position::START
+            && !waits_for_peers
+            && !waits_for_configuration
+    }
+
+    /// Whether callers send requests to this node.
+    #[must_use]
+    pub fn is_active(&self) -> bool {
+        self.parts.rate() >= MIN_ACTIVE_PARTS_PER_SECOND
+    }
+
+    /// Returns the statistics of a route.
+    pub fn statistics(&mut self, route: &Route) -> &mut Statistics {
+        statistics(&mut self.routes, route)
+    }
+
+    /// Replaces the configuration in force.
+    pub fn put_in_force(&mut self, document: &Document, snapshot: Arc<Snapshot>) {
+        let Document { edition, packed, .. } = document;
+        let packed = packed.clone();
+        self.ranks.put_in_force(edition.rank);
+        self.configuration = Some(Configuration { edition: *edition, packed, snapshot });
+        self.set_nodes(self.nodes);
+        self.remove_stale_routes();
+    }
+
+    /// Removes the statistics of routes that are no longer configured.
+    fn remove_stale_routes(&mut self) {
+        let Some(known) = &self.configuration else { return };
+        let names: HashSet<&id::Name> = known.snapshot.routes().map(|route| &route.name).collect();
+        self.routes.retain(|name, _| names.contains(name));
+    }
+
+    /// Sets the number of nodes that share the connections of leafs and the retry budget.
+    pub fn set_nodes(&mut self, nodes: usize) {
+        self.nodes = nodes;
+        self.budget.set_nodes(nodes);
+        let Some(known) = &self.configuration else { return };
+        let services = known.snapshot.services.values();
+        let limits =
+            services.map(|s| (s.name.clone(), connections_per_node(s.max_connections, nodes)));
+        self.fleet.set_concurrency_limits(limits.collect());
+    }
+
+    /// Updates the fleet after a change of the catalog. Returns the keys that are no longer used.
+    pub fn update_fleet(&mut self, now: Time) -> Vec<Key> {
+        self.fleet.update(now, self.catalog.usable())
+    }
+}
--- a/src/ops/explain/mod.rs
+++ b/src/ops/explain/mod.rs
@@ -32,6 +32,8 @@
     pub configuration: Option<&'a Line>,
     /// The last change of the store's reachability before the answer.
     pub store: Option<&'a Line>,
+    /// The return of the store from an older copy shortly before the answer.
+    pub restore: Option<&'a Line>,
     /// Lines about the leafs concerned from shortly before the answer.
     pub leafs: Vec<&'a Line>,
 }
@@ -55,6 +57,7 @@
             end: None,
             configuration: None,
             store: None,
+            restore: None,
             leafs: Vec::new(),
         });
         if matches!(line.event.as_str(), "answer" | "rejected") {
@@ -81,6 +84,7 @@
     let Some(end) = history.end else { return };
     let earliest = end.millis_of_day().map(|at| at - CONTEXT_MS - end.number("took_ms"));
     let recent = before.iter().rev().take_while(|line| line.millis_of_day() >= earliest);
+    history.restore = recent.clone().find(|line| line.event == "store_restored");
     let concerned = recent.filter(|line| is_leaf_event(line) && concerns(history, line));
     let mut leafs: Vec<&Line> = concerned.take(MAX_CONTEXT_LINES).collect();
     leafs.reverse();
--- a/src/ops/explain/render.rs
+++ b/src/ops/explain/render.rs
@@ -126,9 +126,23 @@
             _ => format!("The store had been reachable since {}.", store.time),
         });
     }
+    if let Some(restore) = history.restore {
+        lines.push(format!(
+            "The store had returned from an older copy at {} (era {}): it lacked {}, used for two \
+             more seconds, and was out of date about {}.",
+            restore.time,
+            restore.text("era"),
+            leaf_count(restore, "leafs_missing"),
+            leaf_count(restore, "leafs_outdated"),
+        ));
+    }
     lines
 }
 
+fn leaf_count(line: &Line, field: &str) -> String {
+    text::count(usize::try_from(line.number(field)).unwrap_or_default(), "leaf")
+}
+
 fn leaf_event(line: &Line) -> String {
     let id = line.text("id");
     if line.event == "leaf" {
@@ -136,7 +150,7 @@
         return format!(
             "{} {id} is {state}, revision {}, from {source}",
             line.time,
-            line.text("revision")
+            line.text("at")
         );
     }
     let service = line.text("service");
--- a/src/registration.rs
+++ b/src/registration.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use jacinthfall_adapter::store::{Client, Error, Put};
+use jacinthfall_adapter::store::{Client, Error, Lease, Put};
 use jacinthfall_core::id;
 use rand::Rng;
 
@@ -13,6 +13,10 @@
 /// Interval between two renewals; two fit into `LEASE_TTL`.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(4_000);
 
+/// Maximum pause before a node registers again after the store has lost its entry, so that the
+/// nodes don't all do so at once.
+const RESTORE_SPREAD: Duration = Duration::from_secs(2);
+
 /// Mean pause after the first failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
@@ -76,8 +80,14 @@
                 tokio::time::sleep(RENEWAL_INTERVAL).await;
             }
             Err(Error::LeaseEnded) => {
-                log::info!("event=registration_ended key={}", entry.key);
+                log::info!("event=registration_ended key={} reason=lease", entry.key);
+                lease = None;
+            }
+            Err(Error::Restored) => {
+                log::info!("event=registration_ended key={} reason=restore", entry.key);
                 lease = None;
+                let pause = RESTORE_SPREAD.mul_f64(rand::rng().random());
+                tokio::time::sleep(pause).await;
             }
             Err(_) => {
                 client.reset();
@@ -88,9 +98,10 @@
 }
 
 /// Obtains a lease, writes the entry under it and returns the lease.
-async fn register(client: &Client, entry: &Entry) -> Result<u64, Error> {
+async fn register(client: &Client, entry: &Entry) -> Result<Lease, Error> {
     let lease = client.grant(LEASE_TTL).await?;
-    let put = Put { key: entry.key.clone(), value: entry.value.clone(), lease };
-    client.commit(&[], &[put], &[]).await?;
-    Ok(lease)
+    let put = Put { key: entry.key.clone(), value: entry.value.clone(), lease: lease.number };
+    let written = client.commit(&[], &[put], &[]).await?;
+    // After a restore, the number may stand for the lease of another node.
+    if written.era == lease.era { Ok(lease) } else { Err(Error::Restored) }
 }
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -19,7 +19,7 @@
 /// the request that reaches the limit.
 const MAX_FAILURE_LINES_PER_SECOND: usize = 100 + 25;
 
-fn command(arguments: &[&str], input: &str) -> Output {
+pub fn command(arguments: &[&str], input: &str) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_jacinthfall"))
         .args(arguments)
         .env_clear()
@@ -33,7 +33,7 @@
     child.wait_with_output().expect("the command ends")
 }
 
-fn stdout(output: &Output) -> String {
+pub fn stdout(output: &Output) -> String {
     String::from_utf8(output.stdout.clone()).expect("text")
 }
 
@@ -43,20 +43,20 @@
 }
 
 /// Stops a node and returns its log.
-fn stop_and_read_log_of(site: &mut Site, node: usize) -> String {
+pub fn stop_and_read_log_of(site: &mut Site, node: usize) -> String {
     let process = &mut site.nodes[node].process;
     process.terminate();
     process.wait();
     process.remaining_lines().join("\n") + "\n"
 }
 
-/// Returns for how long a node has known of a later configuration, from its metrics.
-fn seconds_behind(site: &Site, node: usize) -> f64 {
+/// Returns a gauge of a node.
+pub fn metric(site: &Site, node: usize, name: &str) -> f64 {
     let request = "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
     let response = exchange(site.nodes[node].addresses, request.as_bytes());
     let text = String::from_utf8_lossy(&response).into_owned();
     let mut lines = text.lines();
-    let value = lines.find_map(|l| l.strip_prefix("jacinthfall_configuration_behind_seconds "));
+    let value = lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
     value.expect("a gauge").parse().expect("a number")
 }
 
@@ -255,7 +255,8 @@
     let (mut site, _links, _silent) = linked(2, 20_000, &leaf);
     site.configure(&many_routes("/moved/"));
     wait_for("the configuration at the first node", || status(&site, 0, "/moved/1") == 200);
-    wait_for("the second node to know of it", || seconds_behind(&site, 1) > 0.0);
+    let behind = "jacinthfall_configuration_behind_seconds";
+    wait_for("the second node to know of it", || metric(&site, 1, behind) > 0.0);
 
     let request = Request { id: "r-7", target: "/moved/1", ..Request::default() };
     let answer = site.ask(1, &request).status;
--- a/tests/gateway/restore.rs
+++ b/tests/gateway/restore.rs
@@ -5,10 +5,11 @@
 
 use jacinthfall_standin::platform::control::{Change, Put};
 use jacinthfall_testkit::call;
-use jacinthfall_testkit::gateway::leaf::Leaf;
+use jacinthfall_testkit::gateway::leaf::{Behaviour, Leaf};
 use jacinthfall_testkit::gateway::site::{Request, Site, route, serving_leaf, wait_for};
 use serde_json::Value;
 
+use crate::explain::{command, metric, stdout, stop_and_read_log_of};
 use crate::support::serving;
 
 /// Time for which a state is watched that must not change.
@@ -188,3 +189,23 @@
 
     wait_for("the registration after the restore", || is_registered(&site));
 }
+
+#[test]
+fn a_request_after_a_restore_is_explained() {
+    let (first, late) = (serving_leaf("i-1", b"first"), serving_leaf("i-2", b"late"));
+    let mut site = two_nodes(&first);
+    copy(&site);
+    site.register("i-2", "a", &late, 1, "ready");
+    site.put("servers/i-1", None);
+    wait_for("the change", || (0..2).all(|node| body(&site, node) == b"late"));
+    restore(&mut site, Counter::Below, |_| {});
+    wait_for("the restore to be known", || metric(&site, 0, "jacinthfall_store_era") >= 1.0);
+    late.set_behaviour(Behaviour::Drop);
+
+    let _ = site.ask(0, &Request { id: "r-7", ..Request::default() });
+    let log = stop_and_read_log_of(&mut site, 0);
+    let text = stdout(&command(&["explain", "r-7"], &log));
+
+    assert!(text.contains("it lacked 1 leaf"), "{text}");
+    assert!(text.contains("and was out of date about 1 leaf"), "{text}");
+}
--- a/tests/testsuite/runs.rs
+++ b/tests/testsuite/runs.rs
@@ -152,3 +152,21 @@
     assert_eq!(fates.status, 200, "{fates:?}");
     assert_eq!(fates.body["fates"][0]["node"]["node"], "node-0");
 }
+
+#[test]
+fn a_restored_store_runs_no_request_twice() {
+    let site = support::invoicer();
+    let platform = site.platform_address;
+    let body = invoice("inv-8");
+    let _ = call::control(platform, &json!({"copy": true}));
+    let first = repeat(&site, site.nodes[0].callers, &body);
+
+    let _ = call::control(platform, &json!({"restore": true}));
+    let repeats: Vec<Response> = site.nodes.iter().map(|node| issue(node.callers, &body)).collect();
+
+    assert_eq!(first.status, 200);
+    assert_eq!(runs(&site, "inv-8"), 1);
+    for response in &repeats {
+        assert_ne!(response.body["ran"], "not_run", "{response:?}");
+    }
+}
