--- a/crates/testkit/src/gateway/site.rs
+++ b/crates/testkit/src/gateway/site.rs
@@ -53,6 +53,8 @@
     folder: PathBuf,
     started: usize,
     version: u64,
+    /// The latest configuration document.
+    document: Option<String>,
     _server: Server,
     _runtime: tokio::runtime::Runtime,
 }
@@ -81,6 +83,7 @@
             folder,
             started: 0,
             version: 0,
+            document: None,
             _server: server,
             _runtime: runtime,
         }
@@ -160,7 +163,19 @@
                 "header-timeout-ms": 3_000, "idle-timeout-ms": 15_000,
             },
         });
-        self.put("op/config", Some(document.to_string()));
+        self.document = Some(document.to_string());
+        self.write_configuration();
+    }
+
+    /// Writes the latest configuration again, as an operator does after a restore of the store.
+    pub fn write_configuration(&self) {
+        self.put("op/config", self.document.clone());
+    }
+
+    /// Returns the latest version of the configuration.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
     }
 
     /// Starts a node that reaches the store.
@@ -237,6 +252,17 @@
     }
 }
 
+/// Returns the value of a gauge or counter without labels; `None` if the node doesn't answer or
+/// doesn't have it.
+#[must_use]
+pub fn metric(node: &Node, name: &str) -> Option<f64> {
+    let request = "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    let response = try_exchange(node.addresses, request.as_bytes()).ok()?;
+    let text = String::from_utf8_lossy(&response).into_owned();
+    let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    value?.parse().ok()
+}
+
 /// Whether a node reports that it is ready.
 pub fn ready(node: &Node) -> bool {
     call::send("GET", node.readiness, "/api/ready", None, None).is_some_and(|r| r.status == 200)
--- a/crates/testkit/src/gateway/soak.rs
+++ b/crates/testkit/src/gateway/soak.rs
@@ -15,7 +15,7 @@
 
 use super::leaf::{Behaviour, Leaf};
 use super::proxy::{Fault, Proxy};
-use super::site::{Request, Response, Site, gather, route, try_exchange};
+use super::site::{Request, Response, Site, gather, metric, route, try_exchange};
 
 /// Number of leafs of each service.
 const LEAFS_PER_SERVICE: usize = 3;
@@ -278,13 +278,15 @@
 
     /// Injects one random fault, then pauses for a random time.
     fn inject_fault(&mut self) {
-        let faults: [Injection; 9] = [
+        let faults: [Injection; 11] = [
             ("kill", Soak::kill),
             ("stop", Soak::stop),
             ("freeze", Soak::freeze),
             ("store link", Soak::disturb_store_link),
             ("store", Soak::disturb_store),
             ("history", Soak::compact),
+            ("copy", Soak::copy_store),
+            ("restore", Soak::restore_store),
             ("configuration", Soak::configure),
             ("drain", Soak::drain),
             ("return", Soak::reinstate_leaf),
@@ -378,6 +380,37 @@
         self.site.change(&Change { compact: true, ..Change::default() });
     }
 
+    fn copy_store(&mut self) {
+        self.site.change(&Change { copy: true, ..Change::default() });
+    }
+
+    /// Lets the store return from its copy, at times twice and while nodes are killed or the
+    /// configuration changes. Then the operator and the leafs write again.
+    fn restore_store(&mut self) {
+        self.record_disturbance();
+        self.site.change(&Change { outage: Some(true), restore: true, ..Change::default() });
+        thread::sleep(Duration::from_millis(self.rng.random_range(0..400)));
+        if self.rng.random_bool(0.3) {
+            self.kill();
+        }
+        self.site.change(&Change { outage: Some(false), ..Change::default() });
+        if self.rng.random_bool(0.3) {
+            thread::sleep(Duration::from_millis(self.rng.random_range(0..400)));
+            self.site.change(&Change { restore: true, ..Change::default() });
+        }
+        if self.rng.random_bool(0.5) {
+            self.configure();
+        } else {
+            self.site.write_configuration();
+        }
+        for server in &mut self.servers {
+            server.sequence += 1;
+            let state = if server.draining_since.is_some() { "draining" } else { "ready" };
+            self.site.register(&server.id, server.service, &server.leaf, server.sequence, state);
+        }
+        self.record_disturbance();
+    }
+
     fn configure(&mut self) {
         self.is_short_timeout = !self.is_short_timeout;
         let mut single = route("unsafe");
@@ -451,9 +484,27 @@
         }
     }
 
+    /// Checks that every node has the latest configuration in force.
+    fn check_configuration(&self, end: Instant) {
+        let version = self.site.version() as f64;
+        for node in &self.site.nodes {
+            while metric(node, "jacinthfall_configuration_version") != Some(version) {
+                if Instant::now() > end {
+                    self.shared.record_violation(format!(
+                        "{} does not have version {version} in force",
+                        node.name
+                    ));
+                    break;
+                }
+                thread::sleep(Duration::from_millis(50));
+            }
+        }
+    }
+
     /// Checks that every node serves requests again.
     fn check_recovery(&self) {
         let end = Instant::now() + 3 * RECOVERY_TIME;
+        self.check_configuration(end);
         for node in &self.site.nodes {
             loop {
                 let number = self.shared.next.fetch_add(1, Ordering::Relaxed);
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -8,7 +8,7 @@
 
 use jacinthfall_testkit::gateway::leaf::{Behaviour, Leaf};
 use jacinthfall_testkit::gateway::site::{
-    Request, Site, exchange, gather, route, serving_leaf, wait_for,
+    Request, Site, gather, metric, route, serving_leaf, wait_for,
 };
 use serde_json::Value;
 
@@ -50,16 +50,6 @@
     process.remaining_lines().join("\n") + "\n"
 }
 
-/// Returns a gauge of a node.
-pub fn metric(site: &Site, node: usize, name: &str) -> f64 {
-    let request = "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
-    let response = exchange(site.nodes[node].addresses, request.as_bytes());
-    let text = String::from_utf8_lossy(&response).into_owned();
-    let mut lines = text.lines();
-    let value = lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
-    value.expect("a gauge").parse().expect("a number")
-}
-
 fn ask(site: &Site, id: &str) -> u16 {
     site.ask(0, &Request { id, ..Request::default() }).status
 }
@@ -256,7 +246,7 @@
     site.configure(&many_routes("/moved/"));
     wait_for("the configuration at the first node", || status(&site, 0, "/moved/1") == 200);
     let behind = "jacinthfall_configuration_behind_seconds";
-    wait_for("the second node to know of it", || metric(&site, 1, behind) > 0.0);
+    wait_for("the second node to know of it", || metric(&site.nodes[1], behind) > Some(0.0));
 
     let request = Request { id: "r-7", target: "/moved/1", ..Request::default() };
     let answer = site.ask(1, &request).status;
--- a/tests/gateway/restore.rs
+++ b/tests/gateway/restore.rs
@@ -6,10 +6,10 @@
 use jacinthfall_standin::platform::control::{Change, Put};
 use jacinthfall_testkit::call;
 use jacinthfall_testkit::gateway::leaf::{Behaviour, Leaf};
-use jacinthfall_testkit::gateway::site::{Request, Site, route, serving_leaf, wait_for};
+use jacinthfall_testkit::gateway::site::{Request, Site, metric, route, serving_leaf, wait_for};
 use serde_json::Value;
 
-use crate::explain::{command, metric, stdout, stop_and_read_log_of};
+use crate::explain::{command, stdout, stop_and_read_log_of};
 use crate::support::serving;
 
 /// Time for which a state is watched that must not change.
@@ -199,7 +199,9 @@
     site.put("servers/i-1", None);
     wait_for("the change", || (0..2).all(|node| body(&site, node) == b"late"));
     restore(&mut site, Counter::Below, |_| {});
-    wait_for("the restore to be known", || metric(&site, 0, "jacinthfall_store_era") >= 1.0);
+    wait_for("the restore to be known", || {
+        metric(&site.nodes[0], "jacinthfall_store_era") >= Some(1.0)
+    });
     late.set_behaviour(Behaviour::Drop);
 
     let _ = site.ask(0, &Request { id: "r-7", ..Request::default() });
