Cut the circle between audit and hub

The audit took the whole hub to lock the tables and read the clock, while the hub holds the audit. It now gets the time and the tables behind their lock (tables::Shared), which states the order of locks. No behaviour changes.

Also a test that a leaf at an address that was used again keeps its requests after a restore.

--- a/src/gateway/audit/lines.rs
+++ b/src/gateway/audit/lines.rs
@@ -6,7 +6,6 @@
 use jacinthfall_dispatch::flight::{Answer, Event, Flight, Step};
 
 use super::Request;
-use crate::gateway::hub::Hub;
 use crate::gateway::tables::Tables;
 
 /// Maximum length of a text from a caller in a log line, in characters.
@@ -41,17 +40,16 @@
 
 /// Formats the lines about a request: one for each decision on it, then one for its answer.
 pub(super) fn format_request(
-    hub: &Hub,
+    tables: &Tables,
     request: &Request<'_>,
     outcome: Outcome,
     now: Time,
     passed_over: u64,
 ) -> Vec<String> {
-    let tables = hub.tables();
     let steps = request.flight.trail();
     // The latest steps explain the answer.
     let skipped = steps.len().saturating_sub(MAX_STEPS);
-    let described = steps[skipped..].iter().map(|step| format_step(&tables, request, step));
+    let described = steps[skipped..].iter().map(|step| format_step(tables, request, step));
     let mut lines: Vec<String> = described.collect();
     let tally = request.tally;
     lines.push(format!(
@@ -68,7 +66,7 @@
         tally.answered,
         tally.given_up,
         tally.extra_sends,
-        format_missing(&tables, request.flight),
+        format_missing(tables, request.flight),
         request.route.objective.as_millis(),
         request.deadline.since(request.arrived).as_millis(),
         request.spent.as_millis(),
--- a/src/gateway/audit/mod.rs
+++ b/src/gateway/audit/mod.rs
@@ -22,7 +22,7 @@
 use jacinthfall_route::snapshot::Route;
 use metrics::{counter, histogram};
 
-use super::hub::Hub;
+use super::tables::Shared;
 use crate::util::lock::lock;
 use crate::util::output::Sampler;
 
@@ -129,8 +129,13 @@
 impl Audit {
     /// Counts and logs the answer to a request; `None` if its caller disconnected before there
     /// was one.
-    pub fn record_answer(&self, hub: &Hub, request: &Request<'_>, answer: Option<&Answer>) {
-        let now = hub.now();
+    pub fn record_answer(
+        &self,
+        now: Time,
+        tables: &Shared,
+        request: &Request<'_>,
+        answer: Option<&Answer>,
+    ) {
         let took = now.since(request.arrived);
         let grade = Grade::from_answer(request, took, answer);
         let outcome = Outcome::from_answer(answer);
@@ -141,7 +146,7 @@
             inner.sampler(grade).admit(now)
         };
         let Some(passed_over) = passed_over else { return };
-        let lines = lines::format_request(hub, request, outcome, now, passed_over);
+        let lines = lines::format_request(&tables.lock(), request, outcome, now, passed_over);
         for line in &lines {
             log::info!("{line}");
         }
@@ -152,13 +157,13 @@
     }
 
     /// Counts and logs a request that was rejected before any leaf was chosen.
-    pub fn record_rejection(&self, hub: &Hub, request: &Rejection<'_>) {
+    pub fn record_rejection(&self, now: Time, tables: &Shared, request: &Rejection<'_>) {
         let Rejection { id, status, reason, host, path } = request;
         counter!("jacinthfall_rejections_total", "reason" => *reason).increment(1);
-        let Some(passed_over) = lock(&self.0).failed.admit(hub.now()) else { return };
+        let Some(passed_over) = lock(&self.0).failed.admit(now) else { return };
         let (version, behind, upto) = {
-            let tables = hub.tables();
-            (tables.version(), tables.ranks.time_behind(hub.now()).as_millis(), tables.upto)
+            let tables = tables.lock();
+            (tables.version(), tables.ranks.time_behind(now).as_millis(), tables.upto)
         };
         let id = id.map(header_text).unwrap_or_default();
         let status = status.as_u16();
@@ -177,10 +182,17 @@
     }
 
     /// Logs that a leaf's availability for further requests changed.
-    pub fn log_leaf_change(&self, hub: &Hub, key: Key, ending: Ending, change: Change) {
-        let Some(passed_over) = lock(&self.0).states.admit(hub.now()) else { return };
+    pub fn log_leaf_change(
+        &self,
+        now: Time,
+        tables: &Shared,
+        key: Key,
+        ending: Ending,
+        change: Change,
+    ) {
+        let Some(passed_over) = lock(&self.0).states.admit(now) else { return };
         let (id, service, in_flight) = {
-            let tables = hub.tables();
+            let tables = tables.lock();
             let Some(leaf) = tables.fleet.leaf(key) else { return };
             (leaf.id.clone(), leaf.entry.service.clone(), leaf.in_flight())
         };
@@ -198,12 +210,17 @@
     }
 
     /// Logs the changed registrations of leafs, and the source that the changes came from.
-    pub fn log_registration_changes(&self, hub: &Hub, changed: &[id::Name], source: &str) {
-        let now = hub.now();
+    pub fn log_registration_changes(
+        &self,
+        now: Time,
+        tables: &Shared,
+        changed: &[id::Name],
+        source: &str,
+    ) {
         for id in changed {
             let Some(passed_over) = lock(&self.0).states.admit(now) else { continue };
             let (state, at) = {
-                let tables = hub.tables();
+                let tables = tables.lock();
                 let record = tables.catalog.record(id);
                 let entry = record.and_then(|record| record.entry.as_ref());
                 let state = entry.map_or("gone", |entry| match entry.state {
@@ -229,15 +246,14 @@
     }
 
     /// Logs the summaries if `SUMMARY_INTERVAL` has passed since the last ones.
-    pub fn flush_if_due(&self, hub: &Hub) {
-        if hub.now().since(lock(&self.0).last_summary) >= SUMMARY_INTERVAL {
-            self.flush(hub);
+    pub fn flush_if_due(&self, now: Time) {
+        if now.since(lock(&self.0).last_summary) >= SUMMARY_INTERVAL {
+            self.flush(now);
         }
     }
 
     /// Logs summaries of the calls to the store and of each route's traffic since the last ones.
-    pub fn flush(&self, hub: &Hub) {
-        let now = hub.now();
+    pub fn flush(&self, now: Time) {
         let mut inner = lock(&self.0);
         let window = now.since(inner.last_summary);
         inner.last_summary = now;
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -200,7 +200,7 @@
             host: self.host(),
             path: self.target.path(),
         };
-        hub.audit.record_rejection(hub, &rejected);
+        hub.audit.record_rejection(hub.now(), &hub.tables, &rejected);
     }
 }
 
@@ -406,7 +406,7 @@
             spent: self.outbound.spent,
             version: self.version,
         };
-        self.hub.audit.record_answer(self.hub, &request, answer);
+        self.hub.audit.record_answer(self.hub.now(), &self.hub.tables, &request, answer);
     }
 }
 
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -32,11 +32,7 @@
 use super::document::Document;
 use super::pool::{self, DEFAULT_IDLE_TIMEOUT, Pool};
 use super::settings::Settings;
-use super::tables::{Meter, Tables};
-use crate::util::lock::lock;
-
-/// Interval between two runs of [`maintain`].
-pub const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
+use super::tables::{MAINTENANCE_INTERVAL, Meter, Shared, Tables};
 
 /// Lower bound of the assumed number of active nodes, or the number of known nodes if that is
 /// lower.
@@ -86,7 +82,8 @@
     pub heartbeat_due: Notify,
     /// Set to `true` when the connections of callers must be closed.
     pub closing: tokio::sync::watch::Sender<bool>,
-    tables: Mutex<Tables>,
+    /// State that decisions depend on, behind its lock.
+    pub tables: Shared,
     clock: Clock,
 }
 
@@ -135,7 +132,7 @@
             configuration_expected: Notify::new(),
             heartbeat_due: Notify::new(),
             closing: tokio::sync::watch::Sender::new(false),
-            tables: Mutex::new(tables),
+            tables: Shared::open(tables),
             clock,
         }
     }
@@ -152,12 +149,9 @@
         tokio::time::Instant::from_std(self.clock.instant(time))
     }
 
-    /// Locks the tables.
-    ///
-    /// Lock order: the lock of the connection pool is the only one that may be taken while
-    /// this one is held, and never the other way round.
+    /// Locks the tables; see [`Shared::lock`] for the order of locks.
     pub fn tables(&self) -> MutexGuard<'_, Tables> {
-        lock(&self.tables)
+        self.tables.lock()
     }
 
     /// Returns the configuration in force.
@@ -270,8 +264,8 @@
     /// Updates the fleet and the connections after registrations of leafs have changed. `source`
     /// is logged.
     pub fn apply_leaf_changes(self: &Arc<Self>, changed: &[id::Name], source: &str) {
-        self.audit.log_registration_changes(self, changed, source);
         let now = self.now();
+        self.audit.log_registration_changes(now, &self.tables, changed, source);
         let (unused, unconnected) = {
             let mut tables = self.tables();
             let unused = tables.update_fleet(now);
@@ -387,7 +381,7 @@
             hub.serve_if_ready();
         }
         hub.pool.expire(now);
-        hub.audit.flush_if_due(&hub);
+        hub.audit.flush_if_due(now);
         hub.metrics.run_upkeep();
     }
 }
--- a/src/gateway/leafs.rs
+++ b/src/gateway/leafs.rs
@@ -111,7 +111,8 @@
         counter!("jacinthfall_sends_total", "outcome" => self.ending.name()).increment(1);
         let change = self.hub.tables().fleet.record_end(now, self.key, self.sent, self.ending);
         if let Some(change) = change {
-            self.hub.audit.log_leaf_change(self.hub, self.key, self.ending, change);
+            let hub = self.hub;
+            hub.audit.log_leaf_change(hub.now(), &hub.tables, self.key, self.ending, change);
         }
     }
 }
--- a/src/gateway/tables.rs
+++ b/src/gateway/tables.rs
@@ -1,7 +1,7 @@
 //! State that decisions depend on: what this node knows of the configuration, leafs and nodes.
 
 use std::collections::{HashMap, HashSet};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,7 +21,10 @@
 use jacinthfall_route::snapshot::{Route, Snapshot};
 
 use super::document::Document;
-use super::hub::MAINTENANCE_INTERVAL;
+use crate::util::lock::lock;
+
+/// Interval at which [`Meter::tick`] is called.
+pub const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Maximum time that a starting node which read a restored store waits for another node to say
 /// what it knows.
@@ -214,3 +217,23 @@
         self.fleet.update(now, self.catalog.usable())
     }
 }
+
+/// The tables behind their lock.
+#[derive(Debug)]
+pub struct Shared(Mutex<Tables>);
+
+impl Shared {
+    /// Puts the tables behind a lock.
+    #[must_use]
+    pub fn open(tables: Tables) -> Shared {
+        Shared(Mutex::new(tables))
+    }
+
+    /// Locks the tables.
+    ///
+    /// Lock order: the lock of the connection pool is the only one that may be taken while
+    /// this one is held, and never the other way round.
+    pub fn lock(&self) -> MutexGuard<'_, Tables> {
+        lock(&self.0)
+    }
+}
--- a/tests/gateway/restore.rs
+++ b/tests/gateway/restore.rs
@@ -172,6 +172,29 @@
     assert!(holds(|| (0..2).all(|node| body(&site, node) == b"new")));
 }
 
+#[test]
+fn an_address_that_was_used_again_goes_to_its_present_leaf() {
+    let (old, new) = (serving_leaf("i-1", b"old"), serving_leaf("i-2", b"new"));
+    let mut site = two_nodes(&old);
+    let mut second = moved("/b/");
+    second["name"] = "r-b".into();
+    second["service"] = "b".into();
+    site.configure(&[route("safe"), second]);
+    site.register("i-3", "a", &new, 1, "ready");
+    copy(&site);
+    site.put("servers/i-3", None);
+    site.register("i-2", "b", &new, 1, "ready");
+    wait_for("the change", || (0..2).all(|node| status(&site, node, "/b/1") == 200));
+    let runs = new.runs().iter().filter(|run| run.head.starts_with("GET /a/")).count();
+
+    restore(&mut site, Counter::Above, |_| {});
+
+    assert!(holds(|| (0..2).all(|node| status(&site, node, "/b/1") == 200)));
+    assert!(holds(|| (0..2).all(|node| body(&site, node) == b"old")));
+    let late = new.runs().iter().filter(|run| run.head.starts_with("GET /a/")).count();
+    assert_eq!(late, runs, "the leaf that had left gets nothing at its former address");
+}
+
 #[test]
 fn nodes_register_again_after_a_restore() {
     let leaf = serving_leaf("i-1", b"ok");
