--- a/crates/claim/src/entry.rs
+++ b/crates/claim/src/entry.rs
@@ -6,7 +6,6 @@
 use jacinthfall_core::refusal::{Cause, Ran, Refusal};
 use jacinthfall_core::time::Wall;
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 
 /// Longest encoded outcome that is recorded in full, in bytes.
 pub const MAX_OUTCOME_BYTES: usize = 4_096;
@@ -44,7 +43,7 @@
 }
 
 /// An entry that can't be decoded or encoded.
-#[derive(Debug, Error)]
+#[derive(Debug, thiserror::Error)]
 #[error("an entry of a claim bucket is malformed; run the same release on all nodes: {0}")]
 pub struct Error(#[from] serde_json::Error);
 
--- a/crates/claim/src/view.rs
+++ b/crates/claim/src/view.rs
@@ -7,7 +7,6 @@
 
 use jacinthfall_core::id;
 use jacinthfall_core::time::{Time, Wall};
-use thiserror::Error;
 
 use crate::entry::{self, Entry, State};
 
@@ -16,7 +15,7 @@
 pub const OUTCOME_RESERVE_BYTES: usize = 384;
 
 /// A value of the store that is not a bucket.
-#[derive(Debug, Error)]
+#[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The value is not UTF-8 text.
     #[error("a claim bucket is not UTF-8; make sure that nothing else writes to its key: {0}")]
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 
 /// Maximum length of a name or request id, in bytes.
 pub const MAX_NAME_BYTES: usize = 128;
@@ -95,7 +94,7 @@
 }
 
 /// Reason why a name is invalid.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
     /// The name is empty or too long.
     #[error("a name must have 1 to {MAX_NAME_BYTES} bytes, but this one has {0}")]
--- a/crates/core/src/profile.rs
+++ b/crates/core/src/profile.rs
@@ -4,7 +4,6 @@
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
-use thiserror::Error;
 
 use crate::id;
 
@@ -82,7 +81,7 @@
 }
 
 /// A field of a profile is out of bounds.
-#[derive(Clone, Debug, PartialEq, Error)]
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
 #[error("field `{field}`: {allowed}, but it is {found}; correct it and put the profile again")]
 pub struct Error {
     /// Name of the field in JSON.
--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -6,7 +6,6 @@
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
-use thiserror::Error;
 
 use crate::{hash, id};
 
@@ -111,7 +110,7 @@
 }
 
 /// Reason why a service is invalid.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
     /// A limit is zero.
     #[error("field `{0}` is 0; set it to the number that each leaf accepts, at least 1")]
--- a/crates/dispatch/src/transfer.rs
+++ b/crates/dispatch/src/transfer.rs
@@ -15,7 +15,6 @@
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 
 /// Maximum size of a piece, in bytes.
 pub const MAX_PIECE_BYTES: usize = 64 * 1024;
@@ -146,7 +145,7 @@
 }
 
 /// Why a piece can't be used.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
     /// It belongs to an older edition than the one that is being received.
     #[error("the piece belongs to an older version; ask another node")]
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,7 +8,6 @@
 use std::io;
 use std::time::Duration;
 
-use thiserror::Error;
 use tokio::runtime::{Builder, Runtime};
 
 pub mod client;
@@ -34,7 +33,7 @@
 }
 
 /// Error for a request that got no response.
-#[derive(Debug, Error)]
+#[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The request was not sent, or the peer guarantees that it did not process it.
     #[error("request was not sent: {0}; check that the peer is running and its address is correct")]
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -4,10 +4,9 @@
 use std::path::{Path, PathBuf};
 
 use serde::de::DeserializeOwned;
-use thiserror::Error;
 
 /// Why settings could not be read.
-#[derive(Debug, Error)]
+#[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The file can't be read.
     #[error("can't read {path}: {source}; give the path of a settings file")]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,7 +10,6 @@
 use bincode::config::{self, Configuration, Limit, LittleEndian, Varint};
 use jacinthfall_core::id;
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 
 pub mod configuration;
 pub mod fate;
@@ -57,7 +56,7 @@
 }
 
 /// Reason why an envelope could not be encoded or decoded.
-#[derive(Debug, Error)]
+#[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The envelope can't be encoded.
     #[error("can't encode a frame; please report this as a bug: {0}")]
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -1,9 +1,9 @@
 //! Communication with other nodes: heartbeats over UDP, and requests over HTTP/2.
 //!
-//! A heartbeat ([`heartbeats`]) states how far its sender knows the changes in the store, and
+//! A heartbeat (`heartbeats`) states how far its sender knows the changes in the store, and
 //! which configuration it has in force. A node that is behind asks the sender for the changes that
-//! it lacks, in an exchange ([`exchange`]). A configuration may be large, so it is transferred
-//! separately ([`configuration`]) and never delays changes of leafs.
+//! it lacks, in an exchange (`exchange`). A configuration may be large, so it is transferred
+//! separately (`configuration`) and never delays changes of leafs.
 
 mod configuration;
 mod exchange;
@@ -20,7 +20,6 @@
 use jacinthfall_net::server::{Handler, Request, Response, Server};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use thiserror::Error;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -42,7 +41,7 @@
     Limits { silence: Duration::from_millis(700), total: Duration::from_secs(10) };
 
 /// Why a request to another node failed.
-#[derive(Debug, Error)]
+#[derive(Debug, thiserror::Error)]
 enum Error {
     /// No connection was established in time.
     #[error("not connected after {CONNECT_TIMEOUT:?}; check that the node is running")]
--- a/src/load/client.rs
+++ b/src/load/client.rs
@@ -7,7 +7,6 @@
 use http::header::CONTENT_TYPE;
 use oxhttp::model::{Body, Method, Request, Response};
 use serde::de::DeserializeOwned;
-use thiserror::Error;
 
 use crate::api::{Addresses, Answer, Ask, Refusal};
 
@@ -24,7 +23,7 @@
 }
 
 /// Why a request got no usable reply.
-#[derive(Debug, Error)]
+#[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// No connection could be established.
     #[error("no connection: {0}; check that the node runs")]
--- a/src/load/mix.rs
+++ b/src/load/mix.rs
@@ -8,7 +8,6 @@
 use jacinthfall_core::id;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
-use thiserror::Error;
 
 use crate::util::jsonc;
 
@@ -70,7 +69,7 @@
 }
 
 /// Why a mix is invalid.
-#[derive(Debug, Error)]
+#[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The file could not be read.
     #[error("{file}: can't be read: {source}; check the path and its permissions")]
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -11,7 +11,6 @@
 
 use http::StatusCode;
 use jacinthfall_core::refusal::Ran;
-use thiserror::Error;
 
 pub mod addresses;
 pub mod event;
@@ -49,7 +48,7 @@
 }
 
 /// Why a call returned no usable reply.
-#[derive(Debug, Error)]
+#[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The address of the callers' listener is not set.
     #[error("no callers' address of a node; give --callers IP:PORT or set JACINTHFALL_CALLERS")]
--- a/src/util/settings.rs
+++ b/src/util/settings.rs
@@ -6,12 +6,11 @@
 use std::path::{Path, PathBuf};
 
 use serde::de::DeserializeOwned;
-use thiserror::Error;
 
 use super::jsonc;
 
 /// Why settings were rejected.
-#[derive(Debug, Error)]
+#[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The file can't be read.
     #[error("{file}: can't be read: {source}; check the path and its permissions")]
