Refuse a change of a profile whose stored value can't be read

A value that isn't a document counted as absent, so the next change overwrote it with its history. The change is refused with 409, key and remedy, and the value stays.

--- a/src/api.rs
+++ b/src/api.rs
@@ -179,6 +179,13 @@
         /// What to do.
         message: String,
     },
+    /// The stored value can't be read, so the change would lose it and its history.
+    Unreadable {
+        /// Key of the value in the store.
+        key: id::Name,
+        /// What to do.
+        message: String,
+    },
     /// The store did not reply; the change may have been applied.
     Unknown {
         /// Id of the change, with which to send it again.
--- a/src/daemon/change.rs
+++ b/src/daemon/change.rs
@@ -93,6 +93,8 @@
     Accepted(id::Revision),
     /// The store contains this revision instead of the expected one.
     Conflict(id::Revision),
+    /// The store contains something else than a document, for this reason.
+    Unreadable(serde_json::Error),
     /// The change can replace this document, or be the first if there is none.
     Writable(Option<Document>),
 }
@@ -112,6 +114,7 @@
         let previous = match compare_stored(item.as_ref(), expect, change) {
             Stored::Accepted(revision) => return Verdict::Accepted { revision },
             Stored::Conflict(revision) => return conflict(revision),
+            Stored::Unreadable(reason) => return unreadable(&key, &reason),
             Stored::Writable(previous) => previous,
         };
         expect = Some(previous.as_ref().map_or(id::Revision(0), |p| p.record.revision));
@@ -139,18 +142,23 @@
     }
 }
 
-/// Parses the document in an item. Returns `None` if there is none or it is malformed.
-fn parse_document(item: Option<&Item>) -> Option<Document> {
-    serde_json::from_slice(item?.value.as_ref()?).ok()
+/// Parses the document in an item. Returns `None` if there is none.
+fn parse_document(item: Option<&Item>) -> Result<Option<Document>, serde_json::Error> {
+    let value = item.and_then(|item| item.value.as_ref());
+    value.map(|value| serde_json::from_slice(value)).transpose()
 }
 
 /// Compares a change and the expected revision with the stored record.
 fn compare_stored(item: Option<&Item>, expect: Option<id::Revision>, change: &Change) -> Stored {
-    let Some(document) = parse_document(item) else {
-        return match expect {
-            None | Some(id::Revision(0)) => Stored::Writable(None),
-            Some(_) => Stored::Conflict(id::Revision(0)),
-        };
+    let document = match parse_document(item) {
+        Ok(Some(document)) => document,
+        Ok(None) => {
+            return match expect {
+                None | Some(id::Revision(0)) => Stored::Writable(None),
+                Some(_) => Stored::Conflict(id::Revision(0)),
+            };
+        }
+        Err(reason) => return Stored::Unreadable(reason),
     };
     if let Some(entry) = document.history.iter().find(|entry| entry.change.id == change.id) {
         return Stored::Accepted(entry.revision);
@@ -162,6 +170,15 @@
     Stored::Writable(Some(document))
 }
 
+fn unreadable(key: &id::Name, reason: &serde_json::Error) -> Verdict {
+    log::warn!("the stored value of {key} is not a document ({reason}); a change is refused");
+    let message = format!(
+        "the stored value of `{key}` is not a document: {reason}; it is kept, correct or remove it \
+         in the store and send the change again"
+    );
+    Verdict::Unreadable { key: key.clone(), message }
+}
+
 fn conflict(revision: id::Revision) -> Verdict {
     let message = format!(
         "revision {revision} is in force; read it, and if the change is still needed, send it \
@@ -173,7 +190,7 @@
 fn verdict_response(verdict: &Verdict) -> Response<Body> {
     let status = match verdict {
         Verdict::Accepted { .. } => StatusCode::OK,
-        Verdict::Refused { .. } => StatusCode::CONFLICT,
+        Verdict::Refused { .. } | Verdict::Unreadable { .. } => StatusCode::CONFLICT,
         Verdict::Unknown { .. } => StatusCode::SERVICE_UNAVAILABLE,
         Verdict::Invalid { .. } => StatusCode::BAD_REQUEST,
     };
@@ -191,10 +208,16 @@
         }
     };
     match parse_document(item.as_ref()) {
-        Some(document) => {
+        Err(reason) => {
+            let text = format!(
+                "the stored value of `{key}` is not a document: {reason}; correct or remove it\n"
+            );
+            listener::text_response(StatusCode::CONFLICT, text)
+        }
+        Ok(Some(document)) => {
             listener::json_response(StatusCode::OK, &History { changes: document.history })
         }
-        None => {
+        Ok(None) => {
             let text = format!(
                 "profile `{name}` is not in the store; GET /v1/profiles lists all profiles\n"
             );
--- a/src/ops/profile.rs
+++ b/src/ops/profile.rs
@@ -212,7 +212,7 @@
 pub const fn outcome(verdict: &Verdict) -> Outcome {
     match verdict {
         Verdict::Accepted { .. } => Outcome::Done,
-        Verdict::Refused { .. } => Outcome::Refused,
+        Verdict::Refused { .. } | Verdict::Unreadable { .. } => Outcome::Refused,
         Verdict::Unknown { .. } => Outcome::Unknown,
         Verdict::Invalid { .. } => Outcome::Usage,
     }
@@ -297,6 +297,9 @@
             "Profile {name}: refused, nothing changed. Revision {revision} is in force. \
              {message}\n"
         ),
+        Verdict::Unreadable { message, .. } => {
+            format!("Profile {name}: refused, nothing changed. {message}\n")
+        }
         Verdict::Unknown { change_id, message } => format!(
             "Profile {name}: the change may or may not have taken effect. {message}\n\
              Put it again with --change-id {change_id}; it will take effect only once.\n"
--- a/tests/testsuite/change.rs
+++ b/tests/testsuite/change.rs
@@ -144,3 +144,20 @@
     assert_eq!(again.body["revision"], 3, "{again:?}");
     wait_in_force(&site, 3);
 }
+
+#[test]
+fn a_change_of_an_unreadable_profile_is_refused_and_keeps_the_stored_value() {
+    let site = support::site(&["bot-engine"]);
+    let key = format!("config/profile/{PROFILE}");
+    let put_value = json!({"put": [{"key": key, "value": "{\"not\": \"a profile\"}"}]});
+    let _ = call::control(site.platform_address, &put_value);
+
+    let response = put(&site.nodes[0], &change("c-1", 5_000, None));
+
+    assert_eq!(response.status, 409, "{response:?}");
+    assert_eq!(response.body["result"], "unreadable");
+    assert!(response.body.to_string().contains(&key), "{response:?}");
+    let path = format!("/api/kv-key?key={key}");
+    let stored = call::send("GET", site.platform_address, &path, None, None).expect("a response");
+    assert_eq!(stored.body["value"], "eyJub3QiOiAiYSBwcm9maWxlIn0=");
+}
