Pause after a failed accept, and log it once a second

The gateway's listeners paused, but logged 50 lines a second. Both, and the stand-in of the store, now use one acceptor in jacinthfall-net that pauses 20 ms and logs one line a second with the count.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,6 +10,7 @@
 
 use tokio::runtime::{Builder, Runtime};
 
+pub mod acceptor;
 pub mod client;
 pub mod clock;
 pub mod server;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -12,6 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, watch};
 
+use crate::acceptor::Acceptor;
 use crate::client::read_body;
 
 /// Maximum number of concurrent streams on one connection.
@@ -139,12 +140,12 @@
     mut stopped: watch::Receiver<bool>,
 ) {
     let handler = Arc::new(handler);
+    let mut acceptor = Acceptor::open(listener);
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (stream, peer) = tokio::select! {
+            accepted = acceptor.accept() => accepted,
             _ = stopped.changed() => return,
         };
-        let Ok((stream, peer)) = accepted else { continue };
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
             handler.on_limit_exceeded(peer);
             continue;
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -17,6 +17,7 @@
 use jacinthfall_adapter::header::STORE_ERA;
 use jacinthfall_adapter::message::{self, MAX_VALUE_BYTES};
 use jacinthfall_core::time::Time;
+use jacinthfall_net::acceptor::Acceptor;
 use jacinthfall_net::clock::Clock;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -33,9 +34,6 @@
 /// HTTP path of requests that change the faults and return the counters.
 const CONTROL: &str = "/control";
 
-/// Pause after a failed `accept`.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// State that waiting watches depend on; any change of it wakes them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Signal {
@@ -146,11 +144,9 @@
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>, connections: usize) {
     let permits = Arc::new(Semaphore::new(connections));
+    let mut acceptor = Acceptor::open(listener);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let (stream, _) = acceptor.accept().await;
         // A connection beyond the limit is closed at once.
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else { continue };
         let shared = Arc::clone(&shared);
--- a/src/gateway/addresses.rs
+++ b/src/gateway/addresses.rs
@@ -15,10 +15,11 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use jacinthfall_adapter::lookup;
 use jacinthfall_dispatch::roster::Phase;
+use jacinthfall_net::acceptor::Acceptor;
 use tokio::net::TcpListener;
 
 use super::hub::Hub;
-use super::{listener, metrics};
+use super::metrics;
 
 /// Maximum time to receive a request head, the idle time before it included.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -31,8 +32,9 @@
 
 /// Serves address lookups, readiness checks, metrics and traces until the future is dropped.
 pub async fn serve(hub: Arc<Hub>, listener: TcpListener) {
+    let mut acceptor = Acceptor::open(listener);
     loop {
-        let stream = listener::accept(&listener).await;
+        let (stream, _) = acceptor.accept().await;
         let hub = Arc::clone(&hub);
         tokio::spawn(async move {
             let service = service_fn(move |request| {
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -22,6 +22,7 @@
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::fleet::Key;
 use jacinthfall_dispatch::flight::{Action, Answer, Flight, Outcome, Timing};
+use jacinthfall_net::acceptor::Acceptor;
 use jacinthfall_route::snapshot::{Limits, Route, Snapshot, Target};
 use metrics::histogram;
 use tokio::net::{TcpListener, TcpStream};
@@ -31,7 +32,6 @@
 use super::audit;
 use super::hub::Hub;
 use super::leafs::{self, Outbound};
-use super::listener;
 
 /// Retry delay for callers of a node that has no configuration yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -49,8 +49,9 @@
 
 /// Serves callers until the future is dropped.
 pub async fn serve(hub: Arc<Hub>, listener: TcpListener) {
+    let mut acceptor = Acceptor::open(listener);
     loop {
-        let stream = listener::accept(&listener).await;
+        let (stream, _) = acceptor.accept().await;
         tokio::spawn(connection(Arc::clone(&hub), stream));
     }
 }
