Resume a transfer whose sources had all been silent

A node that was fetching a configuration waits for a notification once no source is left, and was notified only of configurations later than all that it knew of. Each heartbeat that names a later one than was examined now wakes it.

Also from the reading: only a node in the same era confirms what this one knows, or verifies what it read from a restored store.

--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -50,8 +50,7 @@
         self.expected.map_or(self.examined, |expected| expected.rank)
     }
 
-    /// Records that a configuration exists. Returns `true` if it is later than all that this
-    /// node knew of.
+    /// Records that a configuration exists.
     ///
     /// ```
     /// use jacinthfall_core::time::Time;
@@ -59,21 +58,22 @@
     /// use jacinthfall_dispatch::transfer::Rank;
     /// let mut ranks = Ranks::default();
     /// let rank = Rank { version: 3, ..Rank::default() };
-    /// assert!(ranks.expect(Time(0), rank));
-    /// assert!(!ranks.expect(Time(0), rank));
+    /// ranks.expect(Time(0), rank);
+    /// assert!(ranks.is_behind());
+    /// assert!(ranks.examine(rank));
+    /// assert!(!ranks.is_behind());
     /// ```
-    pub fn expect(&mut self, now: Time, rank: Rank) -> bool {
+    pub fn expect(&mut self, now: Time, rank: Rank) {
         if rank <= self.latest() {
-            return false;
+            return;
         }
         let since = self.expected.map_or(now, |expected| expected.since);
         self.expected = Some(Expected { rank, since });
-        true
     }
 
     /// Records that a document was read from the store. Returns `false` if it, or a later one, was
     /// read before.
-    pub fn read(&mut self, at: Position) -> bool {
+    pub fn record_read(&mut self, at: Position) -> bool {
         let is_new = at > self.read;
         self.read = self.read.max(at);
         is_new
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -160,17 +160,20 @@
         self.tables().configuration.as_ref().map(|known| Arc::clone(&known.snapshot))
     }
 
-    /// Records that a configuration exists, so that it is fetched.
+    /// Records that a configuration exists, so that it is fetched. The node that named it may
+    /// have been out of reach, so this resumes a transfer that had no source left.
     pub fn expect_configuration(&self, rank: Rank) {
         let now = self.now();
-        if self.tables().ranks.expect(now, rank) {
+        let mut tables = self.tables();
+        tables.ranks.expect(now, rank);
+        if rank > tables.ranks.examined() {
             self.configuration_expected.notify_one();
         }
     }
 
     /// Puts a document that was read from the store in force, unless a later version already is.
     pub fn configure_from_store(&self, at: Position, text: &Bytes) {
-        if !self.tables().ranks.read(at) {
+        if !self.tables().ranks.record_read(at) {
             return;
         }
         let started = self.now();
--- a/src/gateway/peers/exchange.rs
+++ b/src/gateway/peers/exchange.rs
@@ -92,7 +92,9 @@
     let (before, changed, first) = {
         let mut tables = hub.tables();
         let before = tables.upto;
-        tables.unverified = None;
+        if updates.upto.era >= before.era {
+            tables.unverified = None;
+        }
         let changed = tables.catalog.merge(now, updates.leafs, updates.upto);
         let first = tables.upto == Position::START && updates.upto > Position::START;
         tables.upto = tables.upto.max(updates.upto);
--- a/src/gateway/peers/heartbeats.rs
+++ b/src/gateway/peers/heartbeats.rs
@@ -109,10 +109,12 @@
                     hub.heartbeat_due.notify_one();
                 }
             }
-            if beat.store_answers && beat.upto <= tables.upto {
+            let is_same_era = beat.upto.era == tables.upto.era;
+            if beat.store_answers && is_same_era && beat.upto <= tables.upto {
                 tables.confirmed = now;
             }
-            let verifies = tables.unverified.is_some() && beat.phase == Phase::Serving;
+            let verifies =
+                tables.unverified.is_some() && is_same_era && beat.phase == Phase::Serving;
             let ahead = beat.upto > tables.upto || verifies;
             (ahead, ahead && tables.roster.is_follower_of_store(now, &hub.own))
         };
--- a/src/gateway/tables.rs
+++ b/src/gateway/tables.rs
@@ -156,7 +156,7 @@
     /// Returns the version of the configuration in force; 0 if there is none yet.
     #[must_use]
     pub fn version(&self) -> u64 {
-        self.configuration.as_ref().map_or(0, |known| known.snapshot.version)
+        self.ranks.in_force().version
     }
 
     /// Whether this node knows enough to serve. A node that starts waits for what the others know
--- a/tests/gateway/restore.rs
+++ b/tests/gateway/restore.rs
@@ -67,6 +67,16 @@
     site
 }
 
+/// Starts two nodes with a leaf that is replaced by another one after a copy was taken.
+fn replaced_after_copy(first: &Leaf, late: &Leaf) -> Site {
+    let site = two_nodes(first);
+    copy(&site);
+    site.register("i-2", "a", late, 1, "ready");
+    site.put("servers/i-1", None);
+    wait_for("the change", || (0..2).all(|node| body(&site, node) == b"late"));
+    site
+}
+
 /// Writes keys that no node needs, so that the revision rises.
 fn write_others(site: &Site, count: usize) {
     for number in 0..count {
@@ -139,11 +149,7 @@
 #[test]
 fn a_leaf_that_the_copy_lacks_is_used_until_it_has_written_again() {
     let (first, late) = (serving_leaf("i-1", b"first"), serving_leaf("i-2", b"late"));
-    let mut site = two_nodes(&first);
-    copy(&site);
-    site.register("i-2", "a", &late, 1, "ready");
-    site.put("servers/i-1", None);
-    wait_for("the change", || (0..2).all(|node| body(&site, node) == b"late"));
+    let mut site = replaced_after_copy(&first, &late);
     let runs = first.runs().len();
 
     restore(&mut site, Counter::Above, |_| {});
@@ -216,11 +222,7 @@
 #[test]
 fn a_request_after_a_restore_is_explained() {
     let (first, late) = (serving_leaf("i-1", b"first"), serving_leaf("i-2", b"late"));
-    let mut site = two_nodes(&first);
-    copy(&site);
-    site.register("i-2", "a", &late, 1, "ready");
-    site.put("servers/i-1", None);
-    wait_for("the change", || (0..2).all(|node| body(&site, node) == b"late"));
+    let mut site = replaced_after_copy(&first, &late);
     restore(&mut site, Counter::Below, |_| {});
     wait_for("the restore to be known", || {
         metric(&site.nodes[0], "jacinthfall_store_era") >= Some(1.0)
--- a/tests/gateway/spread.rs
+++ b/tests/gateway/spread.rs
@@ -1,10 +1,12 @@
 //! Spread of changes between nodes over narrow links.
 
 use std::net::{SocketAddr, TcpListener};
+use std::thread;
 
+use jacinthfall_dispatch::roster::SUSPECT_AFTER;
 use jacinthfall_testkit::gateway::leaf::Leaf;
 use jacinthfall_testkit::gateway::link::Links;
-use jacinthfall_testkit::gateway::site::{Request, Site, route, serving_leaf, wait_for};
+use jacinthfall_testkit::gateway::site::{Request, Site, metric, route, serving_leaf, wait_for};
 use rand::SeedableRng;
 use rand::distr::{Alphanumeric, SampleString};
 use rand_chacha::ChaCha8Rng;
@@ -85,3 +87,18 @@
     wait_for("the change of leafs at the second node", || body() == b"new");
     assert_eq!(status(&site, 1, "/moved/1"), 404, "the configuration takes far longer");
 }
+
+#[test]
+fn a_transfer_goes_on_after_its_only_source_was_silent() {
+    let leaf = serving_leaf("i-1", b"ok");
+    let (mut site, _links, _silent) = linked(2, 100_000, &leaf);
+    site.configure(&many_routes("/moved/"));
+    let behind = "jacinthfall_configuration_behind_seconds";
+    wait_for("the transfer to begin", || metric(&site.nodes[1], behind) > Some(0.0));
+
+    site.nodes[0].process.freeze();
+    thread::sleep(2 * SUSPECT_AFTER);
+    site.nodes[0].process.resume();
+
+    wait_for("the change at the second node", || status(&site, 1, "/moved/1") == 200);
+}
