Break the fetching of configurations along its steps

One long function with a loop became a fetcher with a method for each step, and its errors are typed like those of other requests to nodes. No behaviour changes.

--- a/src/gateway/peers/configuration.rs
+++ b/src/gateway/peers/configuration.rs
@@ -13,7 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 
-use super::Peer;
+use super::{Error, Peer};
 use crate::gateway::document::Document;
 use crate::gateway::hub::{Hub, MAX_WATCH_LAG};
 
@@ -66,111 +66,138 @@
     Reply::Piece(piece)
 }
 
+/// Fetches each later configuration that another node has in force.
+pub(super) async fn follow(hub: Arc<Hub>) {
+    let rng = ChaCha8Rng::seed_from_u64(hub.own.started);
+    let mut fetcher = Fetcher { hub, rng, download: Download::default(), failed: Vec::new() };
+    loop {
+        fetcher.step().await;
+    }
+}
+
 /// How an attempt to fetch the configuration from one node ended.
 enum Outcome {
     /// It is complete.
     Complete(Document),
-    /// The node has no room, or nothing that is later.
-    Unavailable(&'static str),
+    /// The node has no room for this one.
+    Busy,
+    /// The node has nothing that is later.
+    Nothing,
 }
 
-/// Fetches each later configuration that another node has in force.
-pub(super) async fn follow(hub: Arc<Hub>) {
-    let mut rng = ChaCha8Rng::seed_from_u64(hub.own.started);
-    let mut download = Download::default();
-    let mut failed: Vec<SocketAddr> = Vec::new();
-    loop {
-        let sources = sources(&hub, &mut download);
+impl Outcome {
+    fn name(&self) -> &'static str {
+        match self {
+            Outcome::Complete(_) => "ok",
+            Outcome::Busy => "busy",
+            Outcome::Nothing => "nothing",
+        }
+    }
+}
+
+/// State of the fetching of configurations.
+struct Fetcher {
+    hub: Arc<Hub>,
+    rng: ChaCha8Rng,
+    /// What has arrived so far.
+    download: Download,
+    /// Addresses of the nodes that were busy or failed since the latest pause.
+    failed: Vec<SocketAddr>,
+}
+
+impl Fetcher {
+    /// Makes one attempt, or waits until there is reason for one.
+    async fn step(&mut self) {
+        let sources = self.sources();
         if sources.is_empty() {
-            failed.clear();
-            hub.configuration_expected.notified().await;
-            continue;
+            self.failed.clear();
+            self.hub.configuration_expected.notified().await;
+            return;
         }
-        if let Some(pause) = time_for_watch(&hub) {
+        if let Some(pause) = self.time_for_watch() {
             tokio::time::sleep(pause).await;
-            continue;
+            return;
         }
-        let untried: Vec<SocketAddr> =
-            sources.into_iter().filter(|source| !failed.contains(source)).collect();
-        let Some(source) = untried.choose(&mut rng).copied() else {
-            failed.clear();
-            let pause = Duration::from_millis(rng.random_range(RETRY_PAUSE_MS));
-            tokio::time::sleep(pause).await;
-            continue;
-        };
-        let outcome = fetch(&hub, source, &mut download).await;
-        let name = match &outcome {
-            Ok(Outcome::Complete(_)) => "ok",
-            Ok(Outcome::Unavailable(reason)) => reason,
-            Err(_) => "failed",
-        };
+        let is_untried = |source: &&SocketAddr| !self.failed.contains(source);
+        let untried: Vec<SocketAddr> = sources.iter().filter(is_untried).copied().collect();
+        match untried.choose(&mut self.rng).copied() {
+            Some(source) => self.attempt(source).await,
+            None => {
+                self.failed.clear();
+                let pause = Duration::from_millis(self.rng.random_range(RETRY_PAUSE_MS));
+                tokio::time::sleep(pause).await;
+            }
+        }
+    }
+
+    /// Returns the addresses of nodes that can send a later configuration. Drops a download that
+    /// none of them can continue.
+    fn sources(&mut self) -> Vec<SocketAddr> {
+        let tables = self.hub.tables();
+        let (now, rank) = (self.hub.now(), tables.ranks.examined());
+        let sources = tables.roster.configuration_sources(now, &self.hub.own, rank);
+        if let Some(progress) = self.download.progress()
+            && !sources.iter().any(|member| member.configuration >= progress.edition.rank)
+        {
+            self.download.clear();
+        }
+        sources.into_iter().map(|member| member.node.peers).collect()
+    }
+
+    /// Returns how long to wait for the store, if this node watches it and so will probably read
+    /// the configuration there.
+    fn time_for_watch(&self) -> Option<Duration> {
+        if !self.hub.store_answers.load(Ordering::Relaxed) {
+            return None;
+        }
+        let now = self.hub.now();
+        let tables = self.hub.tables();
+        if !tables.roster.is_follower_of_store(now, &self.hub.own) {
+            return None;
+        }
+        let left = MAX_WATCH_LAG.saturating_sub(tables.ranks.time_behind(now));
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Tries to fetch the configuration from one node.
+    async fn attempt(&mut self, source: SocketAddr) {
+        let result = self.fetch(source).await;
+        let name = result.as_ref().map_or("failed", Outcome::name);
         counter!("jacinthfall_configuration_transfers_total", "outcome" => name).increment(1);
-        match outcome {
+        match result {
             Ok(Outcome::Complete(document)) => {
-                failed.clear();
-                hub.configure_from_peer(&document);
+                self.failed.clear();
+                self.hub.configure_from_peer(&document);
             }
-            Ok(Outcome::Unavailable(_)) => failed.push(source),
+            Ok(Outcome::Busy | Outcome::Nothing) => self.failed.push(source),
             Err(error) => {
-                let arrived = download.progress().map_or(0, |progress| progress.offset);
+                let arrived = self.download.progress().map_or(0, |progress| progress.offset);
                 log::info!(
                     "event=transfer_failed peer={source} arrived_bytes={arrived} \
                      reason=\"{error}\""
                 );
-                failed.push(source);
+                self.failed.push(source);
             }
         }
     }
-}
-
-/// Returns the addresses of nodes that can send a later configuration. Drops a download that none
-/// of them can continue.
-fn sources(hub: &Hub, download: &mut Download) -> Vec<SocketAddr> {
-    let tables = hub.tables();
-    let sources = tables.roster.configuration_sources(hub.now(), &hub.own, tables.ranks.examined());
-    if let Some(progress) = download.progress()
-        && !sources.iter().any(|member| member.configuration >= progress.edition.rank)
-    {
-        download.clear();
-    }
-    sources.into_iter().map(|member| member.node.peers).collect()
-}
-
-/// Returns how long to wait for the store, if this node watches it and so will probably read the
-/// configuration there.
-fn time_for_watch(hub: &Hub) -> Option<Duration> {
-    if !hub.store_answers.load(Ordering::Relaxed) {
-        return None;
-    }
-    let now = hub.now();
-    let tables = hub.tables();
-    if !tables.roster.is_follower_of_store(now, &hub.own) {
-        return None;
-    }
-    let left = MAX_WATCH_LAG.saturating_sub(tables.ranks.time_behind(now));
-    (!left.is_zero()).then_some(left)
-}
 
-/// Fetches pieces from one node until the configuration is complete.
-async fn fetch(
-    hub: &Hub,
-    source: SocketAddr,
-    download: &mut Download,
-) -> Result<Outcome, Box<dyn std::error::Error + Send + Sync>> {
-    let peer = Peer::open(source).await?;
-    loop {
-        let query = Query {
-            node: hub.own.name.clone(),
-            rank: hub.tables().ranks.examined(),
-            progress: download.progress(),
-        };
-        let piece = match peer.ask(PATH, &query).await? {
-            Reply::Piece(piece) => piece,
-            Reply::Busy => return Ok(Outcome::Unavailable("busy")),
-            Reply::Nothing => return Ok(Outcome::Unavailable("nothing")),
-        };
-        if let Some((edition, packed)) = download.accept(&piece)? {
-            return Ok(Outcome::Complete(Document::unpack(edition, packed)?));
+    /// Fetches pieces from one node until the configuration is complete.
+    async fn fetch(&mut self, source: SocketAddr) -> Result<Outcome, Error> {
+        let peer = Peer::open(source).await?;
+        loop {
+            let query = Query {
+                node: self.hub.own.name.clone(),
+                rank: self.hub.tables().ranks.examined(),
+                progress: self.download.progress(),
+            };
+            let piece = match peer.ask(PATH, &query).await? {
+                Reply::Piece(piece) => piece,
+                Reply::Busy => return Ok(Outcome::Busy),
+                Reply::Nothing => return Ok(Outcome::Nothing),
+            };
+            if let Some((edition, packed)) = self.download.accept(&piece)? {
+                return Ok(Outcome::Complete(Document::unpack(edition, packed)?));
+            }
         }
     }
 }
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -16,6 +16,7 @@
 
 use bincode::config::standard;
 use http::StatusCode;
+use jacinthfall_dispatch::transfer;
 use jacinthfall_net::client::{Client, Limits};
 use jacinthfall_net::server::{Handler, Request, Response, Server};
 use serde::Serialize;
@@ -58,6 +59,14 @@
     /// The response can't be decoded.
     #[error("the response can't be decoded: {0}; check that the node runs the same release")]
     Decode(#[from] bincode::error::DecodeError),
+    /// A piece of a configuration can't be used.
+    #[error(transparent)]
+    Piece(#[from] transfer::Error),
+    /// A configuration can't be decompressed.
+    #[error(
+        "the configuration can't be decompressed: {0}; check that the node runs the same release"
+    )]
+    Unpack(#[from] io::Error),
 }
 
 /// Connection to another node.
