Answer malformed requests with 400 and the reason

A request without a host got 404, one with two hosts, two ids, an id that isn't printable or over 256 bytes, or a deadline that is no number was served by the first or by a default, and a broken chunk got 408 at once or at its deadline. All get 400 at once with the reason in the body, and nothing is passed on.

--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -4,6 +4,7 @@
 //! `Driver` carries out the decisions of a [`Flight`] until there is an answer.
 
 use std::convert::Infallible;
+use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -44,6 +45,12 @@
     idle_timeout: Duration::from_secs(15),
 };
 
+/// Maximum length of a request's id, in bytes.
+const MAX_ID_BYTES: usize = 256;
+
+/// Maximum time that a caller may state that it waits.
+const MAX_DEADLINE: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Minimum buffer size that hyper accepts, in bytes.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
 
@@ -109,7 +116,8 @@
 async fn answer(hub: &Arc<Hub>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let _in_flight = InFlight::open(hub);
     let head = Head::read(&request);
-    let result = match head.route(hub) {
+    let route = Head::check(&request).and_then(|()| head.route(hub));
+    let result = match route {
         Ok((snapshot, route)) => handle(hub, &snapshot, &route, request).await,
         Err(rejection) => Err(rejection),
     };
@@ -124,9 +132,44 @@
     response
 }
 
+/// Why a request is malformed.
+#[derive(Clone, Copy, Debug)]
+enum Defect {
+    /// It names no host, or several.
+    Host,
+    /// It has several ids, or one that isn't printable or too long.
+    Id,
+    /// Its deadline isn't a number of milliseconds up to [`MAX_DEADLINE`].
+    Deadline,
+    /// The framing of its body is broken.
+    Body,
+}
+
+impl Defect {
+    const fn name(self) -> &'static str {
+        match self {
+            Defect::Host => "bad_host",
+            Defect::Id => "bad_id",
+            Defect::Deadline => "bad_deadline",
+            Defect::Body => "bad_body",
+        }
+    }
+
+    const fn reason(self) -> &'static str {
+        match self {
+            Defect::Host => "the request must name one Host\n",
+            Defect::Id => "the request must have one id, of 1 to 256 printable characters\n",
+            Defect::Deadline => "the deadline must be one number of milliseconds, up to a day\n",
+            Defect::Body => "the body is not framed properly\n",
+        }
+    }
+}
+
 /// Why a request isn't forwarded to a leaf.
 #[derive(Clone, Copy, Debug)]
 enum Rejection {
+    /// The request is malformed.
+    Malformed(Defect),
     /// The node has no configuration yet.
     Starting,
     /// No route matches the host and path.
@@ -142,6 +185,7 @@
 impl Rejection {
     const fn name(self) -> &'static str {
         match self {
+            Rejection::Malformed(defect) => defect.name(),
             Rejection::Starting => "starting",
             Rejection::NotFound => "no_route",
             Rejection::NoId => "no_id",
@@ -152,6 +196,7 @@
 
     fn response(self) -> Response<Full<Bytes>> {
         match self {
+            Rejection::Malformed(defect) => text(StatusCode::BAD_REQUEST, defect.reason()),
             Rejection::Starting => refusal(STARTING_RETRY_AFTER),
             Rejection::NotFound => text(StatusCode::NOT_FOUND, "no route for this host and path\n"),
             Rejection::NoId => text(StatusCode::BAD_REQUEST, "the request has no id\n"),
@@ -186,6 +231,26 @@
         named.or_else(|| self.host.as_ref()?.to_str().ok()).unwrap_or_default()
     }
 
+    /// Checks the headers that every request must have once, and in a proper form.
+    fn check(request: &Request<Incoming>) -> Result<(), Rejection> {
+        let headers = request.headers();
+        let hosts = headers.get_all(HOST).iter().count();
+        if hosts > 1 || hosts == 0 && request.uri().authority().is_none() {
+            return Err(Rejection::Malformed(Defect::Host));
+        }
+        let mut ids = headers.get_all(header::REQUEST_ID).iter();
+        let is_proper = ids.next().is_none_or(is_proper_id);
+        if !is_proper || ids.next().is_some() {
+            return Err(Rejection::Malformed(Defect::Id));
+        }
+        let mut deadlines = headers.get_all(header::DEADLINE_MS).iter();
+        let is_proper = deadlines.next().is_none_or(|value| decode_deadline(value).is_some());
+        if !is_proper || deadlines.next().is_some() {
+            return Err(Rejection::Malformed(Defect::Deadline));
+        }
+        Ok(())
+    }
+
     fn route(&self, hub: &Hub) -> Result<(Arc<Snapshot>, Arc<Route>), Rejection> {
         let snapshot = hub.snapshot().ok_or(Rejection::Starting)?;
         let route = snapshot.route(self.host(), self.target.path());
@@ -205,6 +270,34 @@
     }
 }
 
+/// Whether an id can be logged and passed on as it is.
+fn is_proper_id(id: &HeaderValue) -> bool {
+    let bytes = id.as_bytes();
+    (1..=MAX_ID_BYTES).contains(&bytes.len()) && bytes.iter().all(u8::is_ascii_graphic)
+}
+
+/// Decodes the time that a caller waits.
+fn decode_deadline(value: &HeaderValue) -> Option<Duration> {
+    let millis: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    let deadline = Duration::try_from_secs_f64(millis / 1_000.0).ok()?;
+    (deadline <= MAX_DEADLINE).then_some(deadline)
+}
+
+/// Whether reading a body failed because of its framing, not of its connection.
+fn is_misframed(error: &(dyn std::error::Error + 'static)) -> bool {
+    let mut source = Some(error);
+    while let Some(error) = source {
+        if let Some(error) = error.downcast_ref::<io::Error>() {
+            return matches!(
+                error.kind(),
+                io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData
+            );
+        }
+        source = error.source();
+    }
+    false
+}
+
 async fn handle(
     hub: &Arc<Hub>,
     snapshot: &Snapshot,
@@ -239,9 +332,7 @@
     if length.and_then(|length| length.parse::<usize>().ok()).is_some_and(|l| l > limit) {
         return Err(Rejection::TooLarge);
     }
-    let stated = headers.get(header::DEADLINE_MS).and_then(|value| value.to_str().ok());
-    let stated = stated.and_then(|value| value.trim().parse::<u64>().ok());
-    let stated = stated.map(Duration::from_millis);
+    let stated = headers.get(header::DEADLINE_MS).and_then(decode_deadline);
     let spent = stated.map(|stated| hub.tables().statistics(route).caller_timeout.spent(stated));
     let deadline = now + stated.unwrap_or(route.timeout).min(route.timeout);
     leafs::strip_hop_by_hop(&mut headers);
@@ -251,6 +342,9 @@
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
             return Err(Rejection::TooLarge);
         }
+        Ok(Err(error)) if is_misframed(&*error) => {
+            return Err(Rejection::Malformed(Defect::Body));
+        }
         Ok(Err(_)) | Err(_) => return Err(Rejection::Incomplete),
     };
     let target = head.uri.path_and_query().map(|target| Uri::from(target.clone()));
--- a/src/ops/explain/render.rs
+++ b/src/ops/explain/render.rs
@@ -258,6 +258,10 @@
     match end.text("reason") {
         "starting" => "the node was still starting and had no configuration yet.",
         "no_route" => "no route of the configuration in force fits the host and path.",
+        "bad_host" => "it names no host or several; fix the caller.",
+        "bad_id" => "its id is not printable, too long or not the only one; fix the caller.",
+        "bad_deadline" => "its deadline is not a number of milliseconds; fix the caller.",
+        "bad_body" => "its body is not framed properly; fix the caller.",
         "no_id" => "the request has no id; fix the caller.",
         "too_large" => "the body exceeds the limit in the configuration.",
         _ => "the body did not arrive in time or was incomplete; check the caller.",
--- a/tests/gateway/input.rs
+++ b/tests/gateway/input.rs
@@ -92,3 +92,60 @@
     assert_eq!(first_response(&site, request).status, 400);
     assert!(leaf.runs().is_empty());
 }
+
+/// Bytes of a request, and a word that the reason of its rejection contains.
+fn malformed_requests() -> Vec<(String, &'static str)> {
+    let request =
+        |headers: &str| format!("GET /a/1 HTTP/1.1\r\n{headers}Connection: close\r\n\r\n");
+    let good = "Host: shop.example\r\nX-Request-Id: r-1\r\n";
+    let chunked = |body: &str| {
+        format!("POST /a/1 HTTP/1.1\r\n{good}Transfer-Encoding: chunked\r\n\r\n{body}")
+    };
+    vec![
+        (request("X-Request-Id: r-1\r\n"), "Host"),
+        (request(&format!("{good}Host: other.example\r\n")), "Host"),
+        (request(&format!("{good}X-Request-Id: r-2\r\n")), "id"),
+        (request(&format!("Host: shop.example\r\nX-Request-Id: {}\r\n", "x".repeat(257))), "id"),
+        (request("Host: shop.example\r\nX-Request-Id: r\u{e9}\r\n"), "id"),
+        (request("Host: shop.example\r\nX-Request-Id: \r\n"), "id"),
+        (request(&format!("{good}X-Deadline-Ms: -5\r\n")), "deadline"),
+        (request(&format!("{good}X-Deadline-Ms: soon\r\n")), "deadline"),
+        (request(&format!("{good}X-Deadline-Ms: 1e40\r\n")), "deadline"),
+        (request(&format!("{good}X-Deadline-Ms: 5\r\nX-Deadline-Ms: 6\r\n")), "deadline"),
+        (chunked("zz\r\nabc\r\n0\r\n\r\n"), "body"),
+        (chunked("3\r\nabcdef\r\n0\r\n\r\n"), "body"),
+    ]
+}
+
+#[test]
+fn malformed_requests_get_400_with_the_reason_and_are_not_passed_on() {
+    let leaf = serving_leaf("i-1", b"ok");
+    let site = serving(&[route("safe")], &[("i-1", "a", &leaf)]);
+
+    for (request, reason) in malformed_requests() {
+        let response = first_response(&site, &request);
+
+        let body = String::from_utf8_lossy(&response.body).into_owned();
+        assert_eq!(response.status, 400, "{request}: {body}");
+        assert!(body.contains(reason), "{request}: {body}");
+    }
+    assert!(leaf.runs().is_empty());
+}
+
+#[test]
+fn unusual_requests_that_are_proper_are_served() {
+    let leaf = serving_leaf("i-1", b"ok");
+    let site = serving(&[route("safe")], &[("i-1", "a", &leaf)]);
+    let id = "x".repeat(256);
+    let good = "Host: shop.example\r\nConnection: close\r\n";
+
+    for headers in [
+        format!("X-Request-Id: {id}\r\n"),
+        "X-Request-Id: r-1\r\nX-Deadline-Ms: 5000.5\r\n".to_owned(),
+        "X-Request-Id: r-1\r\nX-Deadline-Ms:  5000 \r\n".to_owned(),
+    ] {
+        let response = first_response(&site, &format!("GET /a/1 HTTP/1.1\r\n{good}{headers}\r\n"));
+
+        assert_eq!(response.status, 200, "{headers}");
+    }
+}
