--- /dev/null
+++ b/src/gateway/callers/driver.rs
@@ -0,0 +1,172 @@
+//! Drives one request of a caller to its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use jacinthfall_core::id;
+use jacinthfall_core::time::Time;
+use jacinthfall_dispatch::fleet::Key;
+use jacinthfall_dispatch::flight::{Action, Answer, Context, Flight, Outcome};
+use jacinthfall_route::snapshot::Route;
+use metrics::histogram;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+use crate::gateway::audit;
+use crate::gateway::hub::Hub;
+use crate::gateway::leafs::{self, Outbound};
+
+/// The end of a send of a part.
+struct Ended {
+    part: usize,
+    leaf: Key,
+    outcome: Outcome,
+}
+
+/// Tasks of the sends, which are aborted if the caller disconnects.
+#[derive(Default)]
+struct Sends {
+    handles: Vec<AbortHandle>,
+    /// Whether the tasks run on after this is dropped.
+    keep_running: bool,
+}
+
+impl Drop for Sends {
+    fn drop(&mut self) {
+        if !self.keep_running {
+            self.handles.iter().for_each(AbortHandle::abort);
+        }
+    }
+}
+
+/// Drives one request: executes the actions of its [`Flight`] and reports their results to it.
+pub(super) struct Driver<'a> {
+    hub: &'a Arc<Hub>,
+    route: &'a Arc<Route>,
+    flight: Flight,
+    outbound: Arc<Outbound>,
+    /// Version of the configuration that was in force when the request arrived.
+    version: u64,
+    arrived: Time,
+    /// Whether the result of the request has been logged.
+    recorded: bool,
+    sends: Sends,
+    ended: (mpsc::UnboundedSender<Ended>, mpsc::UnboundedReceiver<Ended>),
+}
+
+impl<'a> Driver<'a> {
+    pub(super) fn open(
+        hub: &'a Arc<Hub>,
+        route: &'a Arc<Route>,
+        version: u64,
+        flight: Flight,
+        outbound: Outbound,
+    ) -> Self {
+        let ended = mpsc::unbounded_channel();
+        let (outbound, sends) = (Arc::new(outbound), Sends::default());
+        let arrived = hub.now();
+        Driver { hub, route, flight, outbound, version, arrived, recorded: false, sends, ended }
+    }
+
+    /// Runs the request until there is an answer.
+    pub(super) async fn run(mut self) -> Answer {
+        let mut actions = self.decide(|flight, now, context| flight.start(now, context));
+        loop {
+            if let Some(answer) = self.execute(actions) {
+                self.record(Some(&answer));
+                // Sends that are still in flight run on: they measure the response times of leafs.
+                self.sends.keep_running = true;
+                return answer;
+            }
+            let wake = self.hub.instant(self.flight.next_wake());
+            actions = tokio::select! {
+                biased;
+                Some(ended) = self.ended.1.recv() => self.handle_ended(ended),
+                () = tokio::time::sleep_until(wake) => {
+                    self.decide(|flight, now, context| flight.wake(now, context))
+                }
+            };
+        }
+    }
+
+    /// Makes a decision on the request, with the current time and context.
+    fn decide(
+        &mut self,
+        decision: impl FnOnce(&mut Flight, Time, &mut Context<'_>) -> Vec<Action>,
+    ) -> Vec<Action> {
+        let now = self.hub.now();
+        let mut tables = self.hub.tables();
+        let mut context = tables.context(self.route);
+        decision(&mut self.flight, now, &mut context)
+    }
+
+    fn handle_ended(&mut self, ended: Ended) -> Vec<Action> {
+        let Ended { part, leaf, outcome } = ended;
+        self.decide(|flight, now, context| flight.send_ended(now, part, leaf, outcome, context))
+    }
+
+    /// Starts the sends among the actions; returns the answer if there is one.
+    fn execute(&mut self, actions: Vec<Action>) -> Option<Answer> {
+        let mut answer = None;
+        for action in actions {
+            match action {
+                Action::Send { part, leaf } => self.send(part, leaf),
+                Action::Finish(found) => answer = Some(found),
+            }
+        }
+        answer
+    }
+
+    fn send(&mut self, part: usize, leaf: Key) {
+        let sent = self.hub.now();
+        {
+            let mut tables = self.hub.tables();
+            tables.fleet.record_send(sent, leaf, self.outbound.usual);
+            tables.parts.add();
+        }
+        let hub = Arc::clone(self.hub);
+        let outbound = Arc::clone(&self.outbound);
+        let ended = self.ended.0.clone();
+        let route = self.route.name.clone();
+        let task = tokio::spawn(async move {
+            let outcome = leafs::send(&hub, leaf, &outbound, sent).await;
+            if matches!(outcome, Outcome::Success(_)) {
+                record_response_time(&hub, &route, hub.now().since(sent));
+            }
+            // The receiver is gone once the caller has its answer.
+            let _ = ended.send(Ended { part, leaf, outcome });
+        });
+        self.sends.handles.push(task.abort_handle());
+    }
+
+    /// Logs the answer; `None` if the caller disconnected before there was one.
+    fn record(&mut self, answer: Option<&Answer>) {
+        self.recorded = true;
+        let request = audit::Request {
+            id: &self.outbound.id,
+            route: self.route,
+            flight: &self.flight,
+            tally: self.flight.tally(),
+            arrived: self.arrived,
+            deadline: self.outbound.deadline,
+            spent: self.outbound.spent,
+            version: self.version,
+        };
+        self.hub.audit.record_answer(self.hub.now(), &self.hub.tables, &request, answer);
+    }
+}
+
+impl Drop for Driver<'_> {
+    fn drop(&mut self) {
+        if !self.recorded {
+            self.record(None);
+        }
+    }
+}
+
+fn record_response_time(hub: &Hub, route: &id::Name, took: Duration) {
+    histogram!("jacinthfall_response_seconds", "route" => route.clone()).record(took);
+    if let Some(statistics) = hub.tables().routes.get_mut(route) {
+        statistics.latency.add(took);
+    }
+}
