Give changes of profiles revisions above the one in force

After the store returned from an older copy, a change in the own form was numbered after the stored document, so it got a revision that was in force already with the change that the store had lost: it was acknowledged and no node applied it. The revision is now also above the one in force at the node that takes the change. The test failed before: revision 2 was given out again. Left: a node that lacks the lost change may still do so (docs/FAULTS.md).

--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -75,25 +75,33 @@
 }
 
 impl Document {
-    /// Returns the document that follows `previous`, or the first one of a new record.
+    /// Returns the document that follows `previous`, or the first one of a new record. Its
+    /// revision is also higher than `in_force`, which a store that was restored may lack.
     ///
     /// ```
+    /// use jacinthfall_core::id;
     /// use jacinthfall_core::record::{Body, Change, Document};
     /// use jacinthfall_core::time::Wall;
     /// let change = Change { id: "c".into(), author: "a".into(), time: Wall(1), cause: "x".into() };
-    /// let first = Document::next(None, "config/profile/p".into(), change.clone(), Body::Deleted);
-    /// let second = Document::next(Some(&first), "config/profile/p".into(), change, Body::Deleted);
+    /// let key = || "config/profile/p".into();
+    /// let none = id::Revision(0);
+    /// let first = Document::next(None, none, key(), change.clone(), Body::Deleted);
+    /// let second = Document::next(Some(&first), none, key(), change.clone(), Body::Deleted);
     /// assert_eq!(second.record.revision.0, 2);
     /// assert_eq!(second.history.len(), 2);
+    /// let later = Document::next(Some(&first), id::Revision(5), key(), change, Body::Deleted);
+    /// assert_eq!(later.record.revision.0, 6);
     /// ```
     #[must_use]
     pub fn next(
         previous: Option<&Document>,
+        in_force: id::Revision,
         key: id::Name,
         change: Change,
         body: Body,
     ) -> Document {
-        let revision = id::Revision(previous.map_or(0, |p| p.record.revision.0) + 1);
+        let stored = previous.map_or(0, |p| p.record.revision.0);
+        let revision = id::Revision(stored.max(in_force.0) + 1);
         let mut history = previous.map_or_else(Vec::new, |p| p.history.clone());
         history.push(Edit { revision, change: change.clone() });
         let excess = history.len().saturating_sub(MAX_HISTORY);
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -94,7 +94,7 @@
     for record in records {
         let previous = stored_document(&store, &record.key).await?;
         let Record { key, change: cause, body, .. } = record;
-        let document = Document::next(previous.as_ref(), key.clone(), cause, body);
+        let document = Document::next(previous.as_ref(), id::Revision(0), key.clone(), cause, body);
         let value = serde_json::to_string(&document).map_err(|e| e.to_string())?;
         change.put.push(control::Put { key, value: Some(value) });
     }
--- a/crates/testkit/src/site.rs
+++ b/crates/testkit/src/site.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use jacinthfall_core::id;
 use jacinthfall_core::profile::Profile;
 use jacinthfall_standin::deployment::{self, Deployment};
 use jacinthfall_standin::leaf::fleet::Fleet;
@@ -287,7 +288,7 @@
                     cause: "first start".into(),
                 };
                 let body = Body::Profile(profile.into());
-                let document = Document::next(None, key.clone(), change, body);
+                let document = Document::next(None, id::Revision(0), key.clone(), change, body);
                 let value = serde_json::to_string(&document).expect("plain document");
                 json!({"key": key, "value": value})
             })
--- a/src/daemon/change.rs
+++ b/src/daemon/change.rs
@@ -119,7 +119,10 @@
         };
         expect = Some(previous.as_ref().map_or(id::Revision(0), |p| p.record.revision));
         let body = RecordBody::Profile(Arc::clone(&profile));
-        let document = Document::next(previous.as_ref(), key.clone(), change.clone(), body);
+        let in_force = context.configuration().records.get(&key).map(|record| record.revision);
+        let in_force = in_force.unwrap_or(id::Revision(0));
+        let document =
+            Document::next(previous.as_ref(), in_force, key.clone(), change.clone(), body);
         let value = serde_json::to_vec(&document).expect("the keys of a document are strings");
         let at = item.map_or(Position::START, |item| item.at);
         let condition = Condition { key: key.clone(), at };
--- a/tests/testsuite/change.rs
+++ b/tests/testsuite/change.rs
@@ -161,3 +161,20 @@
     let stored = call::send("GET", site.platform_address, &path, None, None).expect("a response");
     assert_eq!(stored.body["value"], "eyJub3QiOiAiYSBwcm9maWxlIn0=");
 }
+
+#[test]
+fn a_change_on_a_restored_store_is_in_force_everywhere() {
+    let site = support::site(&["bot-engine"]);
+    let _ = call::control(site.platform_address, &json!({"copy": true}));
+    let lost = put(&site.nodes[0], &change("c-1", 5_000, None));
+    assert_eq!(lost.status, 200, "{lost:?}");
+    wait_in_force(&site, 2);
+    let _ = call::control(site.platform_address, &json!({"restore": true}));
+
+    let accepted = put(&site.nodes[0], &change("c-2", 6_000, None));
+
+    assert_eq!(accepted.status, 200, "{accepted:?}");
+    let revision = accepted.body["revision"].as_u64().expect("a revision");
+    assert!(revision > 2, "revision {revision} is in force with the change that the store lost");
+    wait_in_force(&site, revision);
+}
