Limit the wait for large responses in one place

The client for other nodes and the client of the store each had a loop of their own that limits the silence between two pieces of a body and the time for the whole.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use h2::client::{Builder, SendRequest};
@@ -11,8 +10,8 @@
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
 
+use crate::progress::{Limits, Progress};
 use crate::{Error, MAX_BODY_BYTES};
 
 /// Flow control window of one stream, in bytes.
@@ -42,43 +41,6 @@
     pub body: Bytes,
 }
 
-/// Limits on the wait for a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Limits {
-    /// Maximum time without a byte of the response.
-    pub silence: Duration,
-    /// Maximum time until the response is complete.
-    pub total: Duration,
-}
-
-/// How far a response has arrived.
-struct Progress {
-    limits: Limits,
-    started: Instant,
-    /// When its latest bytes arrived, or the request was made.
-    last: Instant,
-    /// Bytes of the body that have arrived.
-    received: usize,
-}
-
-impl Progress {
-    fn open(limits: Limits) -> Progress {
-        let now = Instant::now();
-        Progress { limits, started: now, last: now, received: 0 }
-    }
-
-    /// Waits for the next step of the response, as far as the limits allow.
-    async fn wait<T>(&mut self, step: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
-        let left = self.limits.total.saturating_sub(self.started.elapsed());
-        let Ok(result) = timeout(left.min(self.limits.silence), step).await else {
-            let (after, silent) = (self.started.elapsed(), self.last.elapsed());
-            return Err(Error::Timeout { received: self.received, silent, after });
-        };
-        self.last = Instant::now();
-        result
-    }
-}
-
 impl Client {
     /// Connects to `address` and waits for a ping round trip.
     ///
@@ -153,9 +115,9 @@
         limits: Limits,
     ) -> Result<Response, Error> {
         let mut progress = Progress::open(limits);
-        let (head, mut incoming) = progress.wait(self.send(path, headers, body)).await?;
+        let (head, mut incoming) = progress.wait(self.send(path, headers, body)).await??;
         let mut body = BytesMut::new();
-        while progress.wait(read_chunk(&mut incoming, &mut body)).await? {
+        while progress.wait(read_chunk(&mut incoming, &mut body)).await?? {
             progress.received = body.len();
         }
         Ok(Response { status: head.status, headers: head.headers, body: body.freeze() })
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,13 +6,13 @@
 //! only for socket I/O: handlers with CPU-bound work pass it to their own threads.
 
 use std::io;
-use std::time::Duration;
 
 use tokio::runtime::{Builder, Runtime};
 
 pub mod acceptor;
 pub mod client;
 pub mod clock;
+pub mod progress;
 pub mod server;
 pub mod stream;
 
@@ -43,18 +43,8 @@
     #[error("connection broke after sending: {0}; the peer may have processed the request")]
     Broken(String),
     /// The response was not complete in time. The peer may have processed the request.
-    #[error(
-        "no complete response after {after:?}: {received} bytes arrived, the latest {silent:?} \
-         ago; check the load of the peer and of the link to it"
-    )]
-    Timeout {
-        /// Bytes of the body that had arrived.
-        received: usize,
-        /// Time since the latest of them.
-        silent: Duration,
-        /// Time since the request was made.
-        after: Duration,
-    },
+    #[error(transparent)]
+    Timeout(#[from] progress::Timeout),
     /// The body is larger than [`MAX_BODY_BYTES`].
     #[error("response exceeds {MAX_BODY_BYTES} bytes; request less data")]
     TooLarge,
