Decode configurations of the store and of nodes in one place

Both ways timed the decoding and logged an unreadable document by themselves, the one from nodes with the same step at the end of two branches. The same lines, the same order.

--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -176,15 +176,7 @@
         if !self.tables().ranks.record_read(at) {
             return;
         }
-        let started = self.now();
-        let snapshot = match configuration::decode(text) {
-            Ok(snapshot) => snapshot,
-            Err(error) => {
-                log::warn!("event=configuration_unreadable at={at} reason=\"{error}\"");
-                return;
-            }
-        };
-        let decoding = self.now().since(started);
+        let Some((snapshot, decoding)) = self.decode(at, text) else { return };
         let rank = Rank { version: snapshot.version, at };
         match Document::pack(rank, text.clone()) {
             Ok(document) => self.configure(&document, snapshot, decoding, "store"),
@@ -194,27 +186,31 @@
 
     /// Puts a document that another node sent in force, unless a later version already is.
     pub fn configure_from_peer(&self, document: &Document) {
-        let rank = document.edition.rank;
-        let started = self.now();
-        let decoded = configuration::decode(&document.text);
-        let decoding = self.now().since(started);
-        match decoded {
-            Ok(snapshot) if snapshot.version == rank.version => {
-                self.configure(document, snapshot, decoding, "peer");
-            }
-            Ok(snapshot) => {
-                self.tables().ranks.examine(rank);
-                log::warn!(
-                    "event=configuration_unreadable at={} reason=\"the document of version {} \
-                     was announced as version {}\"",
-                    rank.at,
-                    snapshot.version,
-                    rank.version
-                );
+        let Rank { version, at } = document.edition.rank;
+        match self.decode(at, &document.text) {
+            Some((snapshot, decoding)) if snapshot.version == version => {
+                return self.configure(document, snapshot, decoding, "peer");
             }
+            Some((snapshot, _)) => log::warn!(
+                "event=configuration_unreadable at={at} reason=\"the document of version {} was \
+                 announced as version {version}\"",
+                snapshot.version
+            ),
+            None => {}
+        }
+        // It is not fetched again.
+        self.tables().ranks.examine(document.edition.rank);
+    }
+
+    /// Decodes a document, and returns how long that took; `None` if it can't be decoded, which
+    /// is logged. It may be large, so the tables must not be locked.
+    fn decode(&self, at: Position, text: &[u8]) -> Option<(Snapshot, Duration)> {
+        let started = self.now();
+        match configuration::decode(text) {
+            Ok(snapshot) => Some((snapshot, self.now().since(started))),
             Err(error) => {
-                self.tables().ranks.examine(rank);
-                log::warn!("event=configuration_unreadable at={} reason=\"{error}\"", rank.at);
+                log::warn!("event=configuration_unreadable at={at} reason=\"{error}\"");
+                None
             }
         }
     }
