Share the fixtures that tests of gateway nodes wrote again

The listener in place of a store, the status of an answer, the lock that outlives a panic and the counters of the store's stand-in stood twice each. No test changes what it checks.

--- a/crates/testkit/examples/restore.rs
+++ b/crates/testkit/examples/restore.rs
@@ -8,7 +8,6 @@
 use std::{env, thread};
 
 use jacinthfall_standin::platform::control::{Change, Counters};
-use jacinthfall_testkit::call;
 use jacinthfall_testkit::gateway::site::{Site, route, serving_leaf};
 
 /// Time over which calls are counted.
@@ -17,11 +16,6 @@
 /// Time until the nodes have nothing to do but what recurs.
 const SETTLE: Duration = Duration::from_secs(15);
 
-fn counters(site: &Site, change: Change) -> Counters {
-    let change = serde_json::to_value(Change { counters: true, ..change }).expect("plain");
-    serde_json::from_value(call::control(site.store, &change)).expect("counters")
-}
-
 fn main() {
     let mut arguments = env::args().skip(1);
     let program = PathBuf::from(arguments.next().expect("the path of jacinthfalld"));
@@ -32,12 +26,12 @@
     (1..nodes).for_each(|node| site.wait_ready(node));
     thread::sleep(SETTLE);
 
-    let start = counters(&site, Change { copy: true, ..Change::default() });
+    let start = site.change(&Change { copy: true, ..Change::default() });
     site.put("other", Some("-".into()));
     thread::sleep(WINDOW);
-    let before = counters(&site, Change { restore: true, ..Change::default() });
+    let before = site.change(&Change { restore: true, ..Change::default() });
     thread::sleep(WINDOW);
-    let after = counters(&site, Change::default());
+    let after = site.change(&Change::default());
 
     println!("{nodes} nodes, calls per node in {WINDOW:?}: reads (renewals too), writes");
     report("before the restore", &start, &before, nodes);
--- a/crates/testkit/src/gateway/link.rs
+++ b/crates/testkit/src/gateway/link.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bincode::config::standard;
@@ -17,6 +17,8 @@
 use tokio::runtime::Runtime;
 use tokio::time::Instant;
 
+use crate::trial::lock;
+
 /// Largest number of bytes sent at a time.
 const CHUNK_BYTES: usize = 4 * 1024;
 
@@ -132,7 +134,3 @@
         () = responses => {}
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/testkit/src/gateway/site.rs
+++ b/crates/testkit/src/gateway/site.rs
@@ -8,7 +8,7 @@
 use std::{fs, thread};
 
 use jacinthfall_standin::platform::Settings;
-use jacinthfall_standin::platform::control::{Change, Put};
+use jacinthfall_standin::platform::control::{Change, Counters, Put};
 use jacinthfall_standin::platform::server::{self, Server};
 use serde_json::{Value, json};
 
@@ -106,27 +106,20 @@
         site
     }
 
-    /// Sends a change to the control path of the store's stand-in.
+    /// Sends a change to the control path of the store's stand-in, and returns its counters.
     ///
     /// # Panics
     ///
     /// If the store does not accept it.
-    pub fn change(&self, change: &Change) {
+    pub fn change(&self, change: &Change) -> Counters {
         let change = serde_json::to_value(change).expect("plain");
-        let _ = call::control(self.store, &change);
+        serde_json::from_value(call::control(self.store, &change)).expect("counters")
     }
 
     /// Returns the revision of the store.
-    ///
-    /// # Panics
-    ///
-    /// If the store does not tell it.
     #[must_use]
     pub fn revision(&self) -> u64 {
-        let change = Change { counters: true, ..Change::default() };
-        let change = serde_json::to_value(change).expect("plain");
-        let counters = call::control(self.store, &change);
-        counters["revision"].as_u64().expect("a revision")
+        self.change(&Change::default()).revision
     }
 
     /// Writes a key, or deletes it if `value` is `None`.
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -12,8 +12,8 @@
 };
 use serde_json::Value;
 
-use crate::spread::{linked, many_routes, status};
-use crate::support::serving;
+use crate::spread::{linked, many_routes};
+use crate::support::{serving, status};
 
 /// Upper limit of log lines about failed requests in one second: 100, and up to 25 more from
 /// the request that reaches the limit.
--- a/tests/gateway/nodes.rs
+++ b/tests/gateway/nodes.rs
@@ -1,6 +1,6 @@
 //! Sites of several nodes: starts, planned stops, crashes and outages of the store.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -12,12 +12,7 @@
     Request, Site, exchange, ready, route, serving_leaf, wait_for,
 };
 
-use crate::support::{open, serving};
-
-/// Listener that accepts connections and never answers, in place of a store.
-fn silent_store() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").expect("a free port")
-}
+use crate::support::{open, serving, silent_store};
 
 /// Addresses of callers' listeners that a node resolves the host to.
 fn addresses(site: &Site, node: usize) -> Vec<SocketAddr> {
--- a/tests/gateway/restore.rs
+++ b/tests/gateway/restore.rs
@@ -10,7 +10,7 @@
 use serde_json::Value;
 
 use crate::explain::{command, stdout, stop_and_read_log_of};
-use crate::support::serving;
+use crate::support::{serving, status};
 
 /// Time for which a state is watched that must not change.
 const HOLD: Duration = Duration::from_millis(800);
@@ -29,10 +29,6 @@
     route
 }
 
-fn status(site: &Site, node: usize, target: &str) -> u16 {
-    site.ask(node, &Request { target, ..Request::default() }).status
-}
-
 fn body(site: &Site, node: usize) -> Vec<u8> {
     site.ask(node, &Request::default()).body
 }
--- a/tests/gateway/spread.rs
+++ b/tests/gateway/spread.rs
@@ -12,7 +12,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 
-use crate::support::serving;
+use crate::support::{serving, silent_store, status};
 
 /// Number of routes that make a document of about one megabyte, the largest that the store takes.
 const MANY_ROUTES: usize = 4_600;
@@ -36,11 +36,6 @@
     routes
 }
 
-/// Listener that accepts connections and never answers, in place of a store.
-fn silent_store() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").expect("a free port")
-}
-
 /// Starts nodes of which only the first reaches the store. The others reach each other and the
 /// first one by links of `bytes_per_second`.
 pub fn linked(nodes: usize, bytes_per_second: u32, leaf: &Leaf) -> (Site, Links, TcpListener) {
@@ -57,10 +52,6 @@
     (site, links, silent)
 }
 
-pub fn status(site: &Site, node: usize, target: &str) -> u16 {
-    site.ask(node, &Request { target, ..Request::default() }).status
-}
-
 #[test]
 fn a_large_configuration_reaches_all_nodes_behind_narrow_links() {
     let leaf = serving_leaf("i-1", b"ok");
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -1,9 +1,10 @@
 //! Test sites that run the daemon under test.
 
+use std::net::TcpListener;
 use std::path::Path;
 
 use jacinthfall_testkit::gateway::leaf::Leaf;
-use jacinthfall_testkit::gateway::site::Site;
+use jacinthfall_testkit::gateway::site::{Request, Site};
 use serde_json::Value;
 
 /// Path of the daemon under test.
@@ -20,3 +21,13 @@
 pub fn serving(routes: &[Value], leafs: &[(&str, &str, &Leaf)]) -> Site {
     Site::serving(program(), routes, leafs)
 }
+
+/// Returns the status of a node's answer to a request.
+pub fn status(site: &Site, node: usize, target: &str) -> u16 {
+    site.ask(node, &Request { target, ..Request::default() }).status
+}
+
+/// Listener that accepts connections and never answers, in place of a store.
+pub fn silent_store() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a free port")
+}
