Tell how long callers have waited from the first requests of a route on

A node took the 0.75 quantile of the latest timeouts of a route as that of first attempts, once it had seen 16 requests. In a deployment of hundreds of nodes a node gets that many of a route in minutes, so answers left by the objective counted from the arrival: callers that had looked up a node and connected (15 to 26 ms of an objective of 60) got them late, and so did those that had only looked one up and used an open connection.

Now the timeouts that recur on connections that were in use before are taken for those of first attempts, from the first request on; shortly below one lies that of callers that looked up a node. Nodes tell each other what they have observed in datagrams to six random nodes, four times for each row, and a node that starts gets all rows. A row expires after an hour, and own observations replace it. Callers with different timeouts are told apart, and senseless ones of a caller don't move what others get.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,8 +5,9 @@
 //! [`budget`] limits retries and hedged sends, and [`latency`] tracks response times.
 //! [`flight`] drives one request from its arrival to its answer, and [`merge`] merges the
 //! parts of a query over shards. [`split`] distributes requests over services by weight,
-//! [`caller_timeout`] estimates how long a caller has been retrying, and [`roster`] tracks
-//! the other nodes and selects those that callers may use. [`transfer`] spreads a large document
+//! [`caller_timeout`] estimates how long a caller has been waiting, and [`gossip`] spreads what
+//! it rests on over the nodes. [`roster`] tracks the other nodes and selects those that callers
+//! may use. [`transfer`] spreads a large document
 //! over the nodes, and [`configuration`] orders the versions of the one that it is for.
 //!
 //! Nothing here opens a socket, reads a clock or starts a thread: the current time is an
@@ -18,6 +19,7 @@
 pub mod configuration;
 pub mod fleet;
 pub mod flight;
+pub mod gossip;
 pub mod latency;
 pub mod merge;
 pub mod roster;
--- a/crates/dispatch/tests/suite/main.rs
+++ b/crates/dispatch/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod catalog;
 mod fleet;
 mod flight;
+mod gossip;
 mod merge;
 mod overload;
 mod restore;
--- a/crates/testkit/src/gateway/link.rs
+++ b/crates/testkit/src/gateway/link.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use bincode::config::standard;
-use jacinthfall_dispatch::roster::Heartbeat;
+use jacinthfall_dispatch::gossip::Datagram;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::runtime::Runtime;
@@ -55,7 +55,7 @@
         let (listener, socket) = self.runtime.block_on(bind())?;
         let address = listener.local_addr()?;
         lock(&self.addresses).insert(target, address);
-        self.runtime.spawn(forward_heartbeats(socket, target, Arc::clone(&self.addresses)));
+        self.runtime.spawn(forward_datagrams(socket, target, Arc::clone(&self.addresses)));
         let pace = Arc::new(Pace { bytes_per_second, free_at: Mutex::new(Instant::now()) });
         self.runtime.spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -101,16 +101,18 @@
     }
 }
 
-/// Forwards heartbeats of nodes that have a link.
-async fn forward_heartbeats(socket: UdpSocket, target: SocketAddr, addresses: Addresses) {
+/// Forwards datagrams: heartbeats of nodes that have a link, and all others.
+async fn forward_datagrams(socket: UdpSocket, target: SocketAddr, addresses: Addresses) {
     let mut buffer = vec![0; 64 * 1024];
     while let Ok((length, _)) = socket.recv_from(&mut buffer).await {
         let decoded =
-            bincode::serde::decode_from_slice::<Heartbeat, _>(&buffer[..length], standard());
-        let Ok((mut beat, _)) = decoded else { continue };
-        let Some(link) = lock(&addresses).get(&beat.node.peers).copied() else { continue };
-        beat.node.peers = link;
-        let Ok(datagram) = bincode::serde::encode_to_vec(&beat, standard()) else { continue };
+            bincode::serde::decode_from_slice::<Datagram, _>(&buffer[..length], standard());
+        let Ok((mut datagram, _)) = decoded else { continue };
+        if let Datagram::Heartbeat(beat) = &mut datagram {
+            let Some(link) = lock(&addresses).get(&beat.node.peers).copied() else { continue };
+            beat.node.peers = link;
+        }
+        let Ok(datagram) = bincode::serde::encode_to_vec(&datagram, standard()) else { continue };
         // A node that is down gets no heartbeats.
         let _ = socket.send_to(&datagram, target).await;
     }
--- a/src/gateway/callers/mod.rs
+++ b/src/gateway/callers/mod.rs
@@ -9,7 +9,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +20,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use jacinthfall_dispatch::caller_timeout::Connection;
 use jacinthfall_dispatch::flight::{Flight, Timing};
 use jacinthfall_dispatch::roster::Phase;
 use jacinthfall_net::acceptor::Acceptor;
@@ -59,9 +60,14 @@
     let mut closing = hub.closing.subscribe();
     let service = {
         let hub = Arc::clone(&hub);
+        let in_use = AtomicBool::new(false);
         service_fn(move |request| {
             let hub = Arc::clone(&hub);
-            async move { Ok::<_, Infallible>(answer(&hub, request).await) }
+            let connection = match in_use.swap(true, Ordering::Relaxed) {
+                false => Connection::New,
+                true => Connection::Open,
+            };
+            async move { Ok::<_, Infallible>(answer(&hub, request, connection).await) }
         })
     };
     // hyper counts the idle time before a request as part of reading its head.
@@ -100,12 +106,16 @@
     }
 }
 
-async fn answer(hub: &Arc<Hub>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn answer(
+    hub: &Arc<Hub>,
+    request: Request<Incoming>,
+    connection: Connection,
+) -> Response<Full<Bytes>> {
     let _in_flight = InFlight::open(hub);
     let head = Head::read(&request);
     let route = Head::check(&request).and_then(|()| head.route(hub));
     let result = match route {
-        Ok((snapshot, route)) => handle(hub, &snapshot, &route, request).await,
+        Ok((snapshot, route)) => handle(hub, &snapshot, &route, request, connection).await,
         Err(rejection) => Err(rejection),
     };
     let mut response = result.unwrap_or_else(|rejection| {
@@ -124,9 +134,10 @@
     snapshot: &Snapshot,
     route: &Arc<Route>,
     request: Request<Incoming>,
+    connection: Connection,
 ) -> Result<Response<Full<Bytes>>, Rejection> {
     let now = hub.now();
-    let outbound = request::read_outbound(hub, snapshot, route, request, now).await?;
+    let outbound = request::read_outbound(hub, snapshot, route, request, connection, now).await?;
     let service = match &route.target {
         Target::Split(shares) => hub.tables().statistics(route).selector.next(shares),
         Target::Service(_) | Target::Gather(_) => None,
--- a/src/gateway/callers/request.rs
+++ b/src/gateway/callers/request.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use jacinthfall_adapter::header;
 use jacinthfall_core::time::Time;
+use jacinthfall_dispatch::caller_timeout::Connection;
 use jacinthfall_route::snapshot::{Route, Snapshot};
 
 use super::response::{refusal, text};
@@ -201,6 +202,7 @@
     snapshot: &Snapshot,
     route: &Route,
     request: Request<Incoming>,
+    connection: Connection,
     now: Time,
 ) -> Result<Outbound, Rejection> {
     let (head, body) = request.into_parts();
@@ -212,7 +214,7 @@
         return Err(Rejection::TooLarge);
     }
     let stated = headers.get(header::DEADLINE_MS).and_then(decode_deadline);
-    let spent = stated.map(|stated| hub.tables().statistics(route).caller_timeout.spent(stated));
+    let spent = stated.map(|stated| hub.tables().time_spent(now, route, stated, connection));
     let deadline = now + stated.unwrap_or(route.timeout).min(route.timeout);
     leafs::strip_hop_by_hop(&mut headers);
     let body = Limited::new(body, limit).collect();
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -20,6 +20,7 @@
 use jacinthfall_dispatch::catalog::Catalog;
 use jacinthfall_dispatch::configuration::Ranks;
 use jacinthfall_dispatch::fleet::{Fleet, Key};
+use jacinthfall_dispatch::gossip;
 use jacinthfall_dispatch::roster::{Node, Phase, Roster};
 use jacinthfall_dispatch::transfer::{Rank, Slots};
 use jacinthfall_net::clock::Clock;
@@ -114,6 +115,8 @@
             fleet: Fleet::open(settings.zone.clone(), seed),
             budget: Budget::open(settings.budget(), nodes),
             routes: HashMap::new(),
+            gossip: gossip::Table::default(),
+            gossip_received: false,
             roster: Roster::default(),
             nodes,
             parts: Meter::default(),
--- a/src/gateway/peers/exchange.rs
+++ b/src/gateway/peers/exchange.rs
@@ -6,7 +6,8 @@
 
 use jacinthfall_core::history::Position;
 use jacinthfall_dispatch::catalog::Delta;
-use jacinthfall_dispatch::roster::Node;
+use jacinthfall_dispatch::gossip;
+use jacinthfall_dispatch::roster::{Node, Phase};
 use jacinthfall_dispatch::transfer::Rank;
 use metrics::{counter, histogram};
 use serde::{Deserialize, Serialize};
@@ -26,6 +27,8 @@
 pub(super) struct Query {
     /// Place in the store's history up to which the sender of the query knows all changes.
     upto: Position,
+    /// Whether no other node has told the sender yet what is known about callers.
+    lacks_gossip: bool,
 }
 
 /// Response of an exchange: the changes after the place in the query.
@@ -40,6 +43,8 @@
     /// All nodes, the responding one included, if the node that asks knows nothing yet; else
     /// empty.
     nodes: Vec<Node>,
+    /// What is known about callers, if the node that asks lacks it; else empty.
+    gossip: Vec<gossip::Row>,
 }
 
 /// Returns the changes after the place in a query, as far as this node knows them.
@@ -56,6 +61,7 @@
         leafs: tables.catalog.changes_since(query.upto),
         upto: tables.upto,
         nodes,
+        gossip: if query.lacks_gossip { tables.gossip.all(hub.now()) } else { Vec::new() },
     }
 }
 
@@ -81,7 +87,8 @@
 async fn fetch_updates(hub: &Hub, peer: SocketAddr) -> Result<Updates, Error> {
     let query = {
         let tables = hub.tables();
-        Query { upto: if tables.unverified.is_some() { Position::START } else { tables.upto } }
+        let upto = if tables.unverified.is_some() { Position::START } else { tables.upto };
+        Query { upto, lacks_gossip: !tables.gossip_received }
     };
     Peer::open(peer).await?.ask(PATH, &query).await
 }
@@ -92,6 +99,8 @@
     let (before, changed, first) = {
         let mut tables = hub.tables();
         let before = tables.upto;
+        updates.gossip.iter().for_each(|row| tables.gossip.merge(now, row));
+        tables.gossip_received |= tables.phase == Phase::Serving || !updates.gossip.is_empty();
         if updates.upto.era >= before.era {
             tables.unverified = None;
         }
--- a/src/gateway/peers/heartbeats.rs
+++ b/src/gateway/peers/heartbeats.rs
@@ -1,4 +1,5 @@
-//! Heartbeats: what this node tells the others about itself, and what it learns from theirs.
+//! Datagrams: what this node tells the others about itself and about callers, and what it learns
+//! from theirs.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,8 +8,10 @@
 
 use bincode::config::standard;
 use jacinthfall_core::time::Time;
-use jacinthfall_dispatch::roster::{Heartbeat, Phase};
+use jacinthfall_dispatch::gossip::{self, Datagram};
+use jacinthfall_dispatch::roster::{Heartbeat, Node, Phase};
 use rand::SeedableRng;
+use rand::seq::IteratorRandom;
 use rand_chacha::ChaCha8Rng;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -22,6 +25,12 @@
 /// Maximum size of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 2 * 1024;
 
+/// Time after which a node knows about callers what the others know.
+const SETTLING_TIME: Duration = Duration::from_secs(5);
+
+/// Number of nodes that what is new about callers is sent to, at each interval.
+const GOSSIP_TARGETS: usize = 6;
+
 /// Sends heartbeats periodically, and at once when the state of this node has changed.
 pub(super) async fn send(hub: Arc<Hub>, socket: Arc<UdpSocket>) {
     let mut ticks = interval(HEARTBEAT_INTERVAL);
@@ -36,14 +45,30 @@
         let beat = heartbeat(&hub);
         let targets = targets(&hub, &mut rng, beat.phase != phase);
         phase = beat.phase;
-        let Ok(datagram) = bincode::serde::encode_to_vec(&beat, standard()) else { continue };
-        for target in targets {
-            // Errors are ignored: the next heartbeat makes up for a lost one.
-            let _ = socket.try_send_to(&datagram, target);
+        send_to_all(&socket, &Datagram::Heartbeat(beat), &targets);
+        let (rows, targets) = gossip(&hub, &mut rng);
+        if !rows.is_empty() {
+            send_to_all(&socket, &Datagram::Gossip(rows), &targets);
         }
     }
 }
 
+fn send_to_all(socket: &UdpSocket, datagram: &Datagram, targets: &[SocketAddr]) {
+    let Ok(bytes) = bincode::serde::encode_to_vec(datagram, standard()) else { return };
+    for target in targets {
+        // Errors are ignored: later datagrams make up for a lost one.
+        let _ = socket.try_send_to(&bytes, *target);
+    }
+}
+
+/// Returns what is new about callers, and the nodes that it is sent to.
+fn gossip(hub: &Hub, rng: &mut ChaCha8Rng) -> (Vec<gossip::Row>, Vec<SocketAddr>) {
+    let mut tables = hub.tables();
+    let rows = tables.gossip.next_message(hub.now());
+    let members = tables.roster.members().map(|member| member.node.peers);
+    (rows, members.choose_multiple(rng, GOSSIP_TARGETS))
+}
+
 /// Returns the nodes that a heartbeat is sent to: all of them with `to_all`, and the seeds
 /// too while this node is starting or knows no other node.
 fn targets(hub: &Hub, rng: &mut ChaCha8Rng, to_all: bool) -> Vec<SocketAddr> {
@@ -76,6 +101,12 @@
     }
 }
 
+/// Whether a node had been running long enough to know about callers when this one started.
+fn is_settled(node: &Node, own: &Node) -> bool {
+    let running = Duration::from_millis(own.started.saturating_sub(node.started));
+    running >= SETTLING_TIME
+}
+
 /// Receives heartbeats, and requests an exchange with a sender that knows later changes.
 pub(super) async fn receive(
     hub: Arc<Hub>,
@@ -90,10 +121,18 @@
             continue;
         };
         let decoded =
-            bincode::serde::decode_from_slice::<Heartbeat, _>(&buffer[..length], standard());
-        let Ok((beat, _)) = decoded else {
-            log::warn!("event=heartbeat_unreadable bytes={length}");
-            continue;
+            bincode::serde::decode_from_slice::<Datagram, _>(&buffer[..length], standard());
+        let beat = match decoded {
+            Ok((Datagram::Heartbeat(beat), _)) => beat,
+            Ok((Datagram::Gossip(rows), _)) => {
+                let mut tables = hub.tables();
+                rows.iter().for_each(|row| tables.gossip.merge(hub.now(), row));
+                continue;
+            }
+            Err(_) => {
+                log::warn!("event=heartbeat_unreadable bytes={length}");
+                continue;
+            }
         };
         if beat.node.name == hub.own.name {
             continue;
@@ -116,6 +155,9 @@
             let verifies =
                 tables.unverified.is_some() && is_same_era && beat.phase == Phase::Serving;
             let ahead = beat.upto > tables.upto || verifies;
+            if !ahead && !tables.gossip_received && is_settled(&beat.node, &hub.own) {
+                let _ = exchanges.try_send(beat.node.peers);
+            }
             (ahead, ahead && tables.roster.is_follower_of_store(now, &hub.own))
         };
         if !ahead {
--- a/src/gateway/tables.rs
+++ b/src/gateway/tables.rs
@@ -9,11 +9,12 @@
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::budget::Budget;
-use jacinthfall_dispatch::caller_timeout::Estimator;
+use jacinthfall_dispatch::caller_timeout::{Connection, Estimator};
 use jacinthfall_dispatch::catalog::Catalog;
 use jacinthfall_dispatch::configuration::Ranks;
 use jacinthfall_dispatch::fleet::{Fleet, Key, connections_per_node};
 use jacinthfall_dispatch::flight::Context;
+use jacinthfall_dispatch::gossip;
 use jacinthfall_dispatch::latency::Latency;
 use jacinthfall_dispatch::roster::{Phase, Roster};
 use jacinthfall_dispatch::split::Selector;
@@ -132,6 +133,10 @@
     pub budget: Budget,
     /// Statistics by route.
     pub routes: HashMap<id::Name, Statistics>,
+    /// Timeouts of callers that this node or others have observed.
+    pub gossip: gossip::Table,
+    /// Whether another node has sent all that it knows about callers.
+    pub gossip_received: bool,
     /// The other nodes.
     pub roster: Roster,
     /// Number of nodes that share the connections of leafs and the retry budget.
@@ -184,6 +189,25 @@
         statistics(&mut self.routes, route)
     }
 
+    /// Returns the estimated time that a caller has spent before a request of a route with a
+    /// timeout arrived, and records the timeout.
+    pub fn time_spent(
+        &mut self,
+        now: Time,
+        route: &Route,
+        timeout: Duration,
+        connection: Connection,
+    ) -> Duration {
+        let key = gossip::Route::of(&route.name);
+        let shared = self.gossip.timeouts(now, key);
+        let estimator = &mut statistics(&mut self.routes, route).caller_timeout;
+        let spent = estimator.spent(timeout, connection, &shared);
+        for first in estimator.first_timeouts() {
+            self.gossip.observe(now, key, first);
+        }
+        spent
+    }
+
     /// Replaces the configuration in force.
     pub fn put_in_force(&mut self, document: &Document, snapshot: Arc<Snapshot>) {
         let Document { edition, packed, .. } = document;
