Let all nodes of a large zone hear its strong ones

In a zone of more than 29 nodes each node hears only 28 of the others without gaps. The others count as silent most of the time, so two in three nodes that callers asked knew less than two of the three strong nodes of their zone, and named weak ones.

Strong nodes, if there are few in a zone, now send their heartbeats to all of it. The new test lets 61 nodes of a zone exchange heartbeats and asks each of them; before, it fails at the first one: 1003 and 1053 are named, 1028 is missing.

--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -37,6 +37,10 @@
 /// deployment.
 const OTHER_ZONE_TARGETS: usize = 2;
 
+/// Maximum number of strong nodes in a zone, in a large deployment, with which each of them sends
+/// its heartbeats to the whole zone. All its nodes must know them to name them to callers.
+const MAX_ZONE_BROADCASTERS: usize = 8;
+
 /// Number of nodes in a zone from which on its callers aren't given nodes of other zones.
 const MIN_ZONE_NODES: usize = 4;
 
@@ -309,7 +313,11 @@
         if self.members.len() <= MAX_BROADCAST_NODES {
             return self.members.values().map(peers).collect();
         }
-        let ring = self.ring(own, Side::After);
+        let ring = if self.is_zone_broadcaster(own) {
+            self.zone_names(own).into_iter().cloned().collect()
+        } else {
+            self.ring(own, Side::After)
+        };
         let others = self.members.values().filter(|member| !ring.contains(&member.node.name));
         let (near, far): (Vec<&Member>, Vec<&Member>) =
             others.partition(|member| member.node.zone == own.zone);
@@ -319,11 +327,28 @@
         ring.chain(near).chain(far).map(peers).collect()
     }
 
+    /// Whether this node is one of a few strong ones in its zone.
+    fn is_zone_broadcaster(&self, own: &Node) -> bool {
+        let near = self.members.values().filter(|member| member.node.zone == own.zone);
+        let capacities = near.map(|member| member.node.capacity).chain([own.capacity]);
+        let capacities: Vec<u32> = capacities.collect();
+        let most = capacities.iter().copied().max().unwrap_or_default();
+        let strong = capacities.iter().filter(|capacity| is_strong(**capacity, most)).count();
+        is_strong(own.capacity, most)
+            && strong <= MAX_ZONE_BROADCASTERS
+            && strong * 2 <= capacities.len()
+    }
+
+    /// Returns the names of the other nodes of the own zone.
+    fn zone_names(&self, own: &Node) -> Vec<&id::Name> {
+        let near = self.members.values().filter(|member| member.node.zone == own.zone);
+        near.map(|member| &member.node.name).collect()
+    }
+
     /// Returns the nodes of the own zone that come next to this one by name, on one side. The
     /// order is circular: the first name follows the last one.
     fn ring(&self, own: &Node, side: Side) -> HashSet<id::Name> {
-        let near = self.members.values().filter(|member| member.node.zone == own.zone);
-        let mut names: Vec<&id::Name> = near.map(|member| &member.node.name).collect();
+        let mut names = self.zone_names(own);
         names.sort_unstable();
         let position = names.partition_point(|name| **name < own.name);
         names.rotate_left(position);
@@ -356,11 +381,15 @@
     }
 }
 
+/// Whether a node is strong, given the highest capacity of any node.
+fn is_strong(capacity: u32, most: u32) -> bool {
+    f64::from(capacity) >= MIN_STRONG_CAPACITY * f64::from(most)
+}
+
 /// Returns the nodes with high capacity, or all nodes if those are too few or too busy.
 fn strong_nodes<'a>(nodes: &[(&'a Node, f64)]) -> Vec<&'a Node> {
-    let most = nodes.iter().map(|(node, _)| f64::from(node.capacity)).fold(0.0, f64::max);
-    let is_strong = |node: &Node| f64::from(node.capacity) >= MIN_STRONG_CAPACITY * most;
-    let chosen: Vec<_> = nodes.iter().filter(|(node, _)| is_strong(node)).collect();
+    let most = nodes.iter().map(|(node, _)| node.capacity).max().unwrap_or_default();
+    let chosen: Vec<_> = nodes.iter().filter(|(node, _)| is_strong(node.capacity, most)).collect();
     let load = chosen.iter().map(|(_, load)| load).sum::<f64>() / chosen.len().max(1) as f64;
     if chosen.len() < MIN_STRONG_NODES || load > MAX_STRONG_LOAD {
         return nodes.iter().map(|(node, _)| *node).collect();
--- a/crates/dispatch/tests/suite/roster.rs
+++ b/crates/dispatch/tests/suite/roster.rs
@@ -115,7 +115,7 @@
     let port = u16::try_from(1_000 + number).expect("few");
     let callers = SocketAddr::from(([10, 0, zone.len() as u8, 1], port));
     let capacity = if strong { 8_000 } else { 1_000 };
-    let node = Node { zone: zone.into(), callers, capacity, ..node(&name, 1) };
+    let node = Node { zone: zone.into(), callers, peers: callers, capacity, ..node(&name, 1) };
     Heartbeat { node, load, ..beat(&name, Phase::Serving) }
 }
 
@@ -155,6 +155,42 @@
     assert_eq!(roster.caller_addresses(Time(0), None, "z").len(), 9);
 }
 
+/// 61 nodes of a zone, three of them strong, exchange heartbeats. Each of them may be asked.
+#[test]
+fn every_node_of_a_large_zone_names_its_strong_nodes_to_callers() {
+    for seed in 1..=3 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let beats: Vec<Heartbeat> = (0..61)
+            .map(|number| large_deployment_heartbeat(number, "z", number % 25 == 3, 100))
+            .collect();
+        let mut rosters: Vec<Roster> = beats.iter().map(|_| Roster::default()).collect();
+        for (own, roster) in rosters.iter_mut().enumerate() {
+            let others = beats.iter().enumerate().filter(|(number, _)| *number != own);
+            others.for_each(|(_, beat)| _ = roster.record_heartbeat(Time(0), beat));
+        }
+
+        let mut now = Time(0);
+        for _ in 0..40 {
+            now = now + Duration::from_millis(250);
+            for own in 0..beats.len() {
+                let targets = rosters[own].heartbeat_targets(&beats[own].node, &mut rng);
+                for (number, roster) in rosters.iter_mut().enumerate() {
+                    if targets.contains(&beats[number].node.peers) {
+                        roster.record_heartbeat(now, &beats[own]);
+                    }
+                }
+            }
+        }
+
+        for (beat, roster) in beats.iter().zip(&rosters) {
+            let own = Some(&beat.node);
+            let ports = roster.caller_addresses(now, own, "z");
+            let ports: Vec<u16> = ports.iter().map(SocketAddr::port).collect();
+            assert_eq!(ports, [1_003, 1_028, 1_053], "asked {}", beat.node.name);
+        }
+    }
+}
+
 #[test]
 fn callers_in_a_zone_with_few_nodes_are_given_nodes_of_other_zones() {
     let mut roster = large_deployment(100);
