Don't hedge a query that is late as a whole

A node that has to connect to all leafs first, or is behind with its work, took all parts of a query for late and sent them all twice (84 to 135 extra sends of 90 to 135 parts on the large deployment), which made it later still.

While at most 0.4 of the parts have ended, late ones are now hedged only after 0.6 of the time until the answer is due; by then leafs are out of reach rather than this node behind. Logs name the reason `node_busy`, as `losses` and `explain` do.

--- a/crates/dispatch/src/flight/part.rs
+++ b/crates/dispatch/src/flight/part.rs
@@ -45,6 +45,8 @@
     LeafsBusy,
     /// The budget of extra sends is exhausted.
     Budget,
+    /// Most parts of the query are late, so this node is behind rather than the leaf.
+    NodeBusy,
 }
 
 impl Obstacle {
@@ -52,7 +54,7 @@
     #[must_use]
     pub const fn may_pass(self) -> bool {
         match self {
-            Obstacle::LeafsBusy | Obstacle::Budget => true,
+            Obstacle::LeafsBusy | Obstacle::Budget | Obstacle::NodeBusy => true,
             Obstacle::MayHaveRun | Obstacle::Attempts | Obstacle::NoLeaf => false,
         }
     }
@@ -66,6 +68,7 @@
             Obstacle::NoLeaf => "no_leaf",
             Obstacle::LeafsBusy => "leafs_busy",
             Obstacle::Budget => "budget",
+            Obstacle::NodeBusy => "node_busy",
         }
     }
 }
--- a/crates/dispatch/src/flight/resend.rs
+++ b/crates/dispatch/src/flight/resend.rs
@@ -35,6 +35,12 @@
 /// Upper bound on the hedge delay of a request to one leaf, as a share of the time left.
 const MAX_HEDGE_SHARE_SINGLE: f64 = 0.6;
 
+/// Share of the parts of a query that must have ended before late ones are hedged early.
+const MIN_HEDGE_PROGRESS: f64 = 0.4;
+
+/// Share of the time until the answer is due after which late parts are hedged in any case.
+const MAX_BEHIND_SHARE: f64 = 0.6;
+
 /// Interval between two attempts to hedge a late part while no leaf can take it or the budget
 /// is exhausted.
 const HEDGE_RETRY_INTERVAL: Duration = Duration::from_millis(8);
@@ -125,9 +131,25 @@
         if !self.has_candidates(part) {
             return Err(Obstacle::Attempts);
         }
+        if self.is_behind(now) {
+            return Err(Obstacle::NodeBusy);
+        }
         self.send_extra(now, part, Reason::Late, context, actions)
     }
 
+    /// Whether most parts of a query are still unanswered, early on. Then it is probably this node
+    /// that is behind, for example because it has to connect to all leafs first, and hedges would
+    /// only add to its work. If it lasts, many leafs are out of reach, and hedges are needed.
+    fn is_behind(&self, now: Time) -> bool {
+        if !matches!(self.route.target, Target::Gather(_)) {
+            return false;
+        }
+        let ended = self.parts.iter().filter(|part| !part.is_pending()).count();
+        let since = self.admitted_at.unwrap_or(now);
+        let patience = self.answer_by.since(since).mul_f64(MAX_BEHIND_SHARE);
+        ended as f64 <= MIN_HEDGE_PROGRESS * self.parts.len() as f64 && now.since(since) < patience
+    }
+
     /// Sends a part whose sends have all ended once more, lets it wait for a leaf, or gives it
     /// up. Leafs that reject requests at random, or are full for a moment, often take the part
     /// a little later, so a part that no leaf can take yet isn't given up before `place_by`.
--- a/src/ops/explain/render.rs
+++ b/src/ops/explain/render.rs
@@ -214,6 +214,7 @@
         "no_leaf" => "no leaf had capacity in time",
         "leafs_busy" => "the leafs that could take it were in use or paused",
         "budget" => "the budget for extra sends was exhausted",
+        "node_busy" => "most parts of the query were late, so the node itself was behind",
         other => other,
     }
 }
--- a/src/ops/losses/cause.rs
+++ b/src/ops/losses/cause.rs
@@ -32,6 +32,8 @@
     Attempts,
     /// The budget of extra sends was exhausted.
     Budget,
+    /// Most parts were late, so the node itself was behind.
+    NodeBusy,
     /// The request may have run and must not run twice.
     MayHaveRun,
     /// The node had just started.
@@ -57,6 +59,7 @@
             Cause::EarlierAttempt => "earlier attempt",
             Cause::Attempts => "attempts",
             Cause::Budget => "budget",
+            Cause::NodeBusy => "node busy",
             Cause::MayHaveRun => "may have run",
             Cause::NodeStarting => "node starting",
             Cause::Rejected => "not acceptable",
@@ -136,6 +139,7 @@
             "leafs_busy" => Cause::LeafsBusy,
             "attempts" => Cause::Attempts,
             "budget" => Cause::Budget,
+            "node_busy" => Cause::NodeBusy,
             "may_have_run" => Cause::MayHaveRun,
             _ => Cause::Unknown,
         }
