Prefer leafs that a node is connected to

A connect takes some 12 ms of an objective of 60, but a leaf was chosen as if all were connected. Leafs of other zones that are alike were taken in turn, so that the connection to each of them was idle for too long and closed.

The time to connect, a moving average of what was measured, now counts for leafs without an idle connection.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -27,6 +27,12 @@
 /// others.
 const USABLE_CONNECTION_SHARE: f64 = 0.95;
 
+/// Time to connect to a leaf that is assumed before any was measured.
+const INITIAL_CONNECT_TIME: Duration = Duration::from_millis(5);
+
+/// Weight of a new measurement in the moving average of the time to connect.
+const CONNECT_TIME_WEIGHT: f64 = 0.1;
+
 /// Identifies one incarnation of a leaf within this process: a leaf that restarts, moves to
 /// another address or changes its service gets a new key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -44,6 +50,8 @@
     queues: HashMap<id::Name, Vec<Time>>,
     /// Maximum number of requests that this node may have in flight to a leaf, by service.
     limits: HashMap<id::Name, usize>,
+    /// Time that it usually takes to connect to a leaf.
+    connect_time: Duration,
     /// Number of the next key.
     next_key: u64,
     rng: ChaCha8Rng,
@@ -60,6 +68,7 @@
             services: HashMap::new(),
             queues: HashMap::new(),
             limits: HashMap::new(),
+            connect_time: INITIAL_CONNECT_TIME,
             next_key: 1,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -125,7 +134,7 @@
     #[must_use]
     pub fn assess(&self, now: Time, key: Key, usual: Duration) -> Assessment {
         let Some(leaf) = self.leafs.get(&key) else { return Assessment::default() };
-        let seconds = leaf.estimate(now, usual, &self.zone);
+        let seconds = self.cost(now, leaf, usual);
         Assessment {
             expected: Duration::try_from_secs_f64(seconds).unwrap_or(usual),
             in_flight: leaf.sends.len(),
@@ -133,6 +142,12 @@
         }
     }
 
+    /// Returns the cost of sending a leaf a request that usually takes `usual`, in seconds.
+    fn cost(&self, now: Time, leaf: &Leaf, usual: Duration) -> f64 {
+        let connect = if leaf.is_connected(now) { Duration::ZERO } else { self.connect_time };
+        leaf.estimate(now, usual, &self.zone) + connect.as_secs_f64()
+    }
+
     /// Returns the leafs of a service that may be sent requests.
     #[must_use]
     pub fn leafs(&self, service: &str) -> &[Key] {
@@ -172,7 +187,7 @@
             if leaf.misdirected {
                 continue;
             }
-            let cost = leaf.estimate(now, demand.usual, &self.zone);
+            let cost = self.cost(now, leaf, demand.usual);
             let limit = leaf.limit(now, limit);
             let connection_limit =
                 leaf.connection_limit.filter(|(limit, until)| *limit == 0 && *until > now);
@@ -230,9 +245,31 @@
         if let Some(leaf) = self.leafs.get_mut(&key) {
             let queueing = leaf.queueing_factor(now, usual.as_secs_f64() * leaf.slowness(now));
             leaf.sends.push(InFlight { at: now, queueing });
+            leaf.idle.pop();
+        }
+    }
+
+    /// Records that a connection to a leaf is idle and may be used until the given time.
+    pub fn record_idle(&mut self, now: Time, key: Key, until: Time) {
+        if let Some(leaf) = self.leafs.get_mut(&key) {
+            leaf.idle.retain(|until| *until > now);
+            leaf.idle.push(until);
         }
     }
 
+    /// Records that the idle connections to a leaf were closed.
+    pub fn record_closed(&mut self, key: Key) {
+        if let Some(leaf) = self.leafs.get_mut(&key) {
+            leaf.idle.clear();
+        }
+    }
+
+    /// Records how long it took to connect to a leaf.
+    pub fn record_connect(&mut self, took: Duration) {
+        let (old, new) = (1.0 - CONNECT_TIME_WEIGHT, CONNECT_TIME_WEIGHT);
+        self.connect_time = self.connect_time.mul_f64(old) + took.mul_f64(new);
+    }
+
     /// Records the queue length that a leaf reported.
     pub fn record_report(&mut self, key: Key, report: Report) {
         if let Some(leaf) = self.leafs.get_mut(&key) {
--- a/crates/dispatch/src/fleet/leaf.rs
+++ b/crates/dispatch/src/fleet/leaf.rs
@@ -142,6 +142,8 @@
     pub(super) warm_at: Time,
     /// Requests of this node in flight, oldest first.
     pub(super) sends: Vec<InFlight>,
+    /// Until when each idle connection to it may be used, the one used last at the end.
+    pub(super) idle: Vec<Time>,
     pub(super) last_answer: Time,
     pub(super) report: Option<Report>,
     /// Factor by which answers took longer than usual, as of `observed_at`.
@@ -169,6 +171,7 @@
             warm_at: now + entry.warmup,
             entry,
             sends: Vec::new(),
+            idle: Vec::new(),
             last_answer: now,
             report: None,
             slowness: 1.0,
@@ -303,8 +306,15 @@
         silent.saturating_sub(usual.mul_f64(STALL_FACTOR))
     }
 
+    /// Whether a request can be sent to it without connecting first.
+    #[must_use]
+    pub fn is_connected(&self, now: Time) -> bool {
+        self.idle.last().is_some_and(|until| *until > now)
+    }
+
     /// Returns the cost of sending it a request that usually takes `usual`: the expected
-    /// response time, in seconds, with penalties for distance, stalls and failures.
+    /// response time, in seconds, with penalties for distance, stalls and failures. The time to
+    /// connect is not included.
     pub(super) fn estimate(&self, now: Time, usual: Duration, zone: &str) -> f64 {
         let response = usual.as_secs_f64() * self.slowness(now);
         let warmup = if now < self.warm_at { 1.6 } else { 1.0 };
--- a/crates/dispatch/tests/suite/fleet.rs
+++ b/crates/dispatch/tests/suite/fleet.rs
@@ -180,3 +180,47 @@
     assert_ne!(new, old);
     assert_eq!(fleet.leaf(new).expect("a leaf").in_flight(), 0);
 }
+
+#[test]
+fn of_leafs_that_are_alike_one_with_an_idle_connection_is_preferred() {
+    let mut fleet = fleet(&[service()], 3);
+    let near = place(&mut fleet, Time(0), &[]).expect("a leaf");
+    let connected = fleet.leafs("a").iter().copied().find(|key| *key != near).expect("a leaf");
+    fleet.record_idle(Time(0), connected, FAR_DEADLINE);
+
+    for _ in 0..50 {
+        assert_eq!(place(&mut fleet, Time(1), &[near]), Some(connected));
+    }
+}
+
+#[test]
+fn an_idle_connection_does_not_make_up_for_a_long_queue() {
+    let mut fleet = fleet(&[service()], 3);
+    let near = place(&mut fleet, Time(0), &[]).expect("a leaf");
+    let connected = fleet.leafs("a").iter().copied().find(|key| *key != near).expect("a leaf");
+    fleet.record_idle(Time(0), connected, FAR_DEADLINE);
+    fleet.record_report(connected, Report { requests: 12, at: Time(0) });
+
+    assert_ne!(place(&mut fleet, Time(1), &[near]), Some(connected));
+}
+
+/// Requests that come one after another use few connections, though all leafs are idle.
+#[test]
+fn requests_of_a_node_return_to_the_leafs_that_it_is_connected_to() {
+    let mut fleet = fleet(&[service()], 3);
+    let near = place(&mut fleet, Time(0), &[]).expect("a leaf");
+    let mut connects = 0;
+    let mut now = Time(0);
+
+    for _ in 0..100 {
+        let key = place(&mut fleet, now, &[near]).expect("a leaf");
+        connects += usize::from(!fleet.leaf(key).expect("a leaf").is_connected(now));
+        fleet.record_send(now, key, USUAL);
+        let end = now + USUAL;
+        fleet.record_end(end, key, now, Ending::Success { took: USUAL, usual: USUAL });
+        fleet.record_idle(end, key, end + Duration::from_millis(600));
+        now = now + Duration::from_millis(300);
+    }
+
+    assert_eq!(connects, 1);
+}
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -286,7 +286,7 @@
             (unused, unconnected)
         };
         for key in unused {
-            self.pool.close(key);
+            self.close_idle(key);
         }
         for (key, address) in unconnected {
             tokio::spawn(preconnect(Arc::clone(self), key, address));
@@ -294,6 +294,18 @@
         self.serve_if_ready();
     }
 
+    /// Returns a connection to the pool, for `idle` at most.
+    pub fn release(&self, key: Key, sender: pool::Sender, now: Time, idle: Duration) {
+        self.tables().fleet.record_idle(now, key, now + idle);
+        self.pool.put_idle(key, sender, now, idle);
+    }
+
+    /// Closes the idle connections to a leaf.
+    pub fn close_idle(&self, key: Key) {
+        self.tables().fleet.record_closed(key);
+        self.pool.close(key);
+    }
+
     /// Returns the leafs of configured services that this node has no connection to.
     fn unconnected_leafs(&self, tables: &Tables) -> Vec<(Key, SocketAddr)> {
         let Some(known) = &tables.configuration else { return Vec::new() };
@@ -350,7 +362,7 @@
     if let Some(permit) = hub.pool.reserve(key, 1)
         && let Ok(sender) = pool::dial(address, permit).await
     {
-        hub.pool.put_idle(key, sender, hub.now(), DEFAULT_IDLE_TIMEOUT);
+        hub.release(key, sender, hub.now(), DEFAULT_IDLE_TIMEOUT);
     }
 }
 
--- a/src/gateway/leafs.rs
+++ b/src/gateway/leafs.rs
@@ -90,7 +90,13 @@
             return Ok(sender);
         }
         if let Some(permit) = hub.pool.reserve(key, limit) {
-            return pool::dial(address, permit).await;
+            let started = hub.now();
+            let dialled = pool::dial(address, permit).await;
+            if dialled.is_ok() {
+                let took = hub.now().since(started);
+                hub.tables().fleet.record_connect(took);
+            }
+            return dialled;
         }
         let released = hub.pool.released(key);
         timeout_at(give_up_at, released.notified()).await.map_err(|_| Ending::Busy)?;
@@ -139,7 +145,7 @@
     };
     let now = hub.now();
     if !hub.tables().fleet.is_usable(key) || now >= outbound.timing.deadline {
-        hub.pool.put_idle(key, sender, now, DEFAULT_IDLE_TIMEOUT);
+        hub.release(key, sender, now, DEFAULT_IDLE_TIMEOUT);
         return Outcome::Unsent;
     }
     let Some(request) = build_request(outbound, &id, now) else {
@@ -149,7 +155,7 @@
     match timeout_at(hub.instant(outbound.timing.deadline), exchange).await {
         Err(_) => {
             guard.ending = Ending::Silent;
-            hub.pool.close(key);
+            hub.close_idle(key);
             Outcome::Unknown
         }
         Ok(Err(Failure::Unsent)) => Outcome::Unsent,
@@ -224,7 +230,7 @@
         hub.tables().fleet.record_report(key, report);
     }
     if let Some(idle) = idle_time(&headers) {
-        hub.pool.put_idle(key, sender, now, idle);
+        hub.release(key, sender, now, idle);
     }
     let not_run = headers.contains_key(header::NOT_RUN);
     let receipt = headers.get(header::RECEIPT).cloned();
