Open no connections to leafs that have not changed

Whenever the registration of any leaf changed, each node that callers use opened connections to all leafs that it had none to: to hundreds that it had closed because they were idle, several times a second while leafs are replaced. Its queries waited meanwhile, and leafs spent slots on it.

Now only the changed leafs are connected to. The new test fails before the change (three connections to the leaf that didn't change in place of one).

--- a/crates/testkit/src/gateway/leaf.rs
+++ b/crates/testkit/src/gateway/leaf.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -58,6 +59,7 @@
     id: Mutex<String>,
     behaviour: Mutex<Behaviour>,
     runs: Mutex<Vec<Run>>,
+    connections: AtomicUsize,
     closed_connections: Mutex<usize>,
 }
 
@@ -82,12 +84,14 @@
             id: Mutex::new(id.to_owned()),
             behaviour: Mutex::new(behaviour),
             runs: Mutex::default(),
+            connections: AtomicUsize::default(),
             closed_connections: Mutex::default(),
         });
         let shared = Arc::clone(&state);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let state = Arc::clone(&shared);
+                state.connections.fetch_add(1, Ordering::Relaxed);
                 thread::spawn(move || serve(&state, stream));
             }
         });
@@ -103,6 +107,12 @@
         self.state.runs.lock().expect("not poisoned").clone()
     }
 
+    /// Number of connections that the leaf has accepted.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.state.connections.load(Ordering::Relaxed)
+    }
+
     /// Number of connections that were closed while the leaf worked on a request.
     ///
     /// # Panics
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -5,7 +5,7 @@
 //! retained lines. Of these, only the lock of the pool may be taken while the tables are locked.
 //! [`maintain`] removes expired entries in the background.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize};
 use std::sync::{Arc, MutexGuard};
@@ -279,7 +279,7 @@
             // advance, so that the limited connections of leafs remain for other nodes.
             let few = tables.roster.len() < MIN_ASSUMED_NODES;
             let unconnected = if few || tables.is_active() {
-                self.unconnected_leafs(&tables)
+                self.unconnected_leafs(&tables, changed)
             } else {
                 Vec::new()
             };
@@ -306,12 +306,16 @@
         self.pool.close(key);
     }
 
-    /// Returns the leafs of configured services that this node has no connection to.
-    fn unconnected_leafs(&self, tables: &Tables) -> Vec<(Key, SocketAddr)> {
+    /// Returns those of the changed leafs that belong to configured services and that this node
+    /// has no connection to. Connections to the others have been closed since they were idle.
+    fn unconnected_leafs(&self, tables: &Tables, changed: &[id::Name]) -> Vec<(Key, SocketAddr)> {
         let Some(known) = &tables.configuration else { return Vec::new() };
+        let changed: HashSet<&id::Name> = changed.iter().collect();
         let keys = known.snapshot.services.keys().flat_map(|name| tables.fleet.leafs(name));
-        let unconnected = keys.filter(|key| !self.pool.is_open(**key));
-        unconnected.filter_map(|key| Some((*key, tables.fleet.leaf(*key)?.entry.address))).collect()
+        let leafs = keys.filter_map(|key| Some((*key, tables.fleet.leaf(*key)?)));
+        let unconnected =
+            leafs.filter(|(key, leaf)| changed.contains(&leaf.id) && !self.pool.is_open(*key));
+        unconnected.map(|(key, leaf)| (key, leaf.entry.address)).collect()
     }
 
     /// Starts to serve once enough is known, and triggers a heartbeat.
--- a/tests/gateway/changes.rs
+++ b/tests/gateway/changes.rs
@@ -1,5 +1,8 @@
 //! Changes of the configuration and of the registered leafs while nodes serve requests.
 
+use std::thread;
+use std::time::Duration;
+
 use serde_json::{Value, json};
 
 use jacinthfall_testkit::gateway::leaf::Leaf;
@@ -120,3 +123,25 @@
 
     wait_for("the new version", || body(&site, "r-2") == b"of b");
 }
+
+/// A node closes connections that nobody uses. Changes of other leafs are no reason to open them
+/// again: in a large deployment some leaf changes all the time.
+#[test]
+fn a_change_of_one_leaf_opens_no_connection_to_the_others() {
+    let (unchanged, changed) = (serving_leaf("i-1", b"ok"), serving_leaf("i-2", b"ok"));
+    let entries = [("i-1", "a", &unchanged), ("i-2", "a", &changed)];
+    let site = serving(&[route_to("a")], &entries);
+    wait_for("connections to both", || unchanged.connections() > 0 && changed.connections() > 0);
+    thread::sleep(Duration::from_millis(2_500));
+    let before = unchanged.connections();
+
+    for sequence in 2..6 {
+        site.register("i-2", "a", &changed, sequence, "ready");
+        thread::sleep(Duration::from_millis(500));
+    }
+    let added = serving_leaf("i-3", b"ok");
+    site.register("i-3", "a", &added, 1, "ready");
+
+    wait_for("a connection to the new leaf", || added.connections() > 0);
+    assert_eq!(unchanged.connections(), before);
+}
