Log and count which leafs and services each node reaches

Each node now tracks which services gave no response to its sends (dispatch::fleet::reach), states it in heartbeats, and logs it (event=reach, with what the peers state) together with what look-ups answer (event=lookups). A connection that breaks before the response has an ending of its own, since it is no answer of the leaf.

Nothing is decided by it yet.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -4,7 +4,8 @@
 //! that it reported with its latest answer while that is recent, how slow its recent
 //! answers were, and how long it has been silent with requests in flight. `leaf` keeps
 //! this state for one leaf, `notice` what leafs say of themselves in responses, `rate_limit` a
-//! node's share of what a leaf accepts, and `search` compares the leafs of a service.
+//! node's share of what a leaf accepts, `reach` tells which services this node has lost, and
+//! `search` compares the leafs of a service.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -18,13 +19,16 @@
 mod leaf;
 mod notice;
 mod rate_limit;
+mod reach;
 mod search;
 
 pub use leaf::{Assessment, Change, Ending, Leaf, Report};
 pub use rate_limit::{Limiter, Need, Statement};
+pub use reach::Census;
 pub use search::{Candidates, Demand, Placement};
 
 use leaf::InFlight;
+use reach::Tracker;
 use search::{CAPACITY_POLL, OVERRUN_FACTOR, Search};
 
 /// Share of a leaf's connections that nodes use. The rest is reserved for nodes that replace
@@ -61,6 +65,8 @@
     returns: HashMap<id::Name, Time>,
     /// Time that it usually takes to connect to a leaf.
     connect_time: Duration,
+    /// Which services this node reaches.
+    reach: Tracker,
     /// Number of the next key.
     next_key: u64,
     rng: ChaCha8Rng,
@@ -80,6 +86,7 @@
             share: 1.0,
             returns: HashMap::new(),
             connect_time: INITIAL_CONNECT_TIME,
+            reach: Tracker::default(),
             next_key: 1,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -268,7 +275,7 @@
     pub fn record_send(&mut self, now: Time, key: Key, usual: Duration) {
         if let Some(leaf) = self.leafs.get_mut(&key) {
             let queueing = leaf.queueing_factor(now, usual.as_secs_f64() * leaf.slowness(now));
-            leaf.sends.push(InFlight { at: now, queueing });
+            leaf.sends.push(InFlight { at: now, queueing, patience: reach::patience(usual) });
             leaf.idle.pop();
             if let Some(limiter) = &mut leaf.rate_limiter {
                 limiter.record_send(now);
@@ -313,6 +320,7 @@
         sent: Time,
         ending: Ending,
     ) -> Option<Change> {
+        self.record_reach(now, key, sent, ending);
         let usable = self.is_usable(key);
         let leaf = self.leafs.get_mut(&key)?;
         let position = leaf.sends.iter().position(|other| other.at == sent);
--- a/crates/dispatch/src/fleet/leaf.rs
+++ b/crates/dispatch/src/fleet/leaf.rs
@@ -53,8 +53,10 @@
         /// Usual response time of such requests, for comparison.
         usual: Duration,
     },
-    /// The leaf ran the request and failed, or its answer broke off.
+    /// The leaf ran the request and failed, or its answer can't be used.
     Failure,
+    /// The connection broke before the answer was complete.
+    Broken,
     /// The leaf rejected the request without running it.
     Rejected,
     /// A different leaf now has the address.
@@ -72,12 +74,29 @@
 }
 
 impl Ending {
+    /// Whether the leaf has responded.
+    #[must_use]
+    pub(super) const fn is_response(self) -> bool {
+        match self {
+            Ending::Success { .. } | Ending::Failure | Ending::Rejected | Ending::Misdirected => {
+                true
+            }
+            Ending::Broken
+            | Ending::Unreachable
+            | Ending::Silent
+            | Ending::Busy
+            | Ending::Crowded
+            | Ending::Cancelled => false,
+        }
+    }
+
     /// Returns the name that is written to logs and metrics.
     #[must_use]
     pub const fn name(self) -> &'static str {
         match self {
             Ending::Success { .. } => "success",
             Ending::Failure => "failure",
+            Ending::Broken => "broken",
             Ending::Rejected => "rejected",
             Ending::Misdirected => "misdirected",
             Ending::Unreachable => "unreachable",
@@ -135,6 +154,15 @@
     pub(super) at: Time,
     /// Factor by which the leaf's queue was expected to lengthen the response time.
     pub(super) queueing: f64,
+    /// Time after which it counts as unanswered.
+    pub(super) patience: Duration,
+}
+
+impl InFlight {
+    /// Whether it counts as unanswered.
+    pub(super) fn is_overdue(&self, now: Time) -> bool {
+        now.since(self.at) > self.patience
+    }
 }
 
 /// A leaf: its entry in the store, and its load and health as seen by this node.
@@ -151,6 +179,8 @@
     /// Until when each idle connection to it may be used, the one used last at the end.
     pub(super) idle: Vec<Time>,
     pub(super) last_answer: Time,
+    /// When the latest send or connection attempt began that got no response.
+    pub(super) missed: Option<Time>,
     pub(super) report: Option<Report>,
     /// Factor by which answers took longer than usual, as of `observed_at`.
     pub(super) slowness: f64,
@@ -185,6 +215,7 @@
             sends: Vec::new(),
             idle: Vec::new(),
             last_answer: now,
+            missed: None,
             report: None,
             slowness: 1.0,
             failure_rate: 0.0,
@@ -252,6 +283,7 @@
                 self.observe(now, None, true);
                 self.last_answer = now;
             }
+            Ending::Broken => self.observe(now, None, true),
             Ending::Rejected => {
                 let requests = 2 * self.entry.slots;
                 self.report = Some(Report { requests, at: now });
--- /dev/null
+++ b/crates/dispatch/src/fleet/reach.rs
@@ -0,0 +1,173 @@
+//! Tells which services this node reaches, by what its sends and connections to leafs showed.
+//!
+//! A leaf that gave no response counts against its service only if no other leaf of the service has
+//! responded to anything since. A service is lost when several of its leafs count against it, and
+//! the node is cut off when leafs of several services do and no leaf of any service has responded.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use jacinthfall_core::id;
+use jacinthfall_core::time::Time;
+
+use super::leaf::{Ending, Leaf};
+use super::{Fleet, Key};
+use crate::quarantine::Service;
+use crate::reach::Loss;
+
+/// Minimum number of silent leafs of a lost service, if it has as many, and of a node that is cut
+/// off.
+const MIN_SILENT_LEAFS: usize = 3;
+
+/// Minimum number of services with silent leafs at a node that is cut off, if there are as many.
+const MIN_SILENT_SERVICES: usize = 2;
+
+/// Time without a response after which a send counts as unanswered, beyond
+/// [`PATIENCE_RESPONSES`].
+const MIN_PATIENCE: Duration = Duration::from_millis(250);
+
+/// Time without a response after which a send counts as unanswered, in usual response times.
+const PATIENCE_RESPONSES: u32 = 4;
+
+/// Returns the time after which a send with a usual response time counts as unanswered.
+pub(super) fn patience(usual: Duration) -> Duration {
+    MIN_PATIENCE + usual * PATIENCE_RESPONSES
+}
+
+/// What this node knows of its reach.
+#[derive(Debug, Default)]
+pub(super) struct Tracker {
+    /// When a leaf of each service last responded.
+    heard: HashMap<id::Name, Time>,
+    /// When any leaf last responded.
+    heard_any: Option<Time>,
+    /// Services that are lost.
+    lost: HashSet<id::Name>,
+    /// Whether no leaf can be reached.
+    is_cut_off: bool,
+}
+
+/// Numbers of leafs and services in and out of reach, for the log and the metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Census {
+    /// Number of leafs that may be sent requests.
+    pub leafs: usize,
+    /// Number of those that gave no response lately.
+    pub silent_leafs: usize,
+    /// Number of services that have leafs.
+    pub services: usize,
+    /// Number of those that are lost.
+    pub lost_services: usize,
+    /// Whether no leaf can be reached.
+    pub is_cut_off: bool,
+}
+
+impl Leaf {
+    /// Returns when the latest send or connection attempt began that got no response and is
+    /// overdue.
+    fn silent_since(&self, now: Time) -> Option<Time> {
+        let overdue = self.sends.iter().filter(|send| send.is_overdue(now)).map(|send| send.at);
+        overdue.chain(self.missed).max()
+    }
+}
+
+impl Fleet {
+    /// Records what the end of a send that began at `sent` shows of this node's reach.
+    pub(super) fn record_reach(&mut self, now: Time, key: Key, sent: Time, ending: Ending) {
+        if ending.is_response() {
+            self.record_heard(now, key);
+            return;
+        }
+        let Some(leaf) = self.leafs.get(&key) else { return };
+        let is_overdue = leaf.sends.iter().any(|send| send.at == sent && send.is_overdue(now));
+        let failed = matches!(ending, Ending::Unreachable | Ending::Crowded | Ending::Silent);
+        if failed || is_overdue {
+            self.record_missed(key, sent);
+        }
+    }
+
+    /// Records that a leaf gave no response to a send or connection attempt that began at
+    /// `started`.
+    pub fn record_missed(&mut self, key: Key, started: Time) {
+        if let Some(leaf) = self.leafs.get_mut(&key) {
+            leaf.missed = leaf.missed.max(Some(started));
+        }
+    }
+
+    /// Records that a leaf has responded or accepted a connection.
+    pub fn record_heard(&mut self, now: Time, key: Key) {
+        let Some(leaf) = self.leafs.get(&key) else { return };
+        let service = leaf.entry.service.clone();
+        self.reach.lost.remove(&service);
+        self.reach.heard.insert(service, now);
+        self.reach.heard_any = Some(now);
+        self.reach.is_cut_off = false;
+    }
+
+    /// Updates which services are lost. Returns `true` if [`Fleet::loss`] has changed.
+    pub fn update_reach(&mut self, now: Time) -> bool {
+        let before = self.loss();
+        let reach = &mut self.reach;
+        reach.heard.retain(|service, _| self.services.contains_key(service));
+        let mut lost = HashSet::new();
+        let (mut silent_leafs, mut silent_services) = (0, 0);
+        for (service, keys) in &self.services {
+            let silent: Vec<Time> =
+                keys.iter().filter_map(|key| self.leafs[key].silent_since(now)).collect();
+            let after = |heard: Option<Time>| silent.iter().filter(|at| Some(**at) > heard).count();
+            let unheard = after(reach.heard.get(service).copied());
+            if unheard > 0 && unheard >= keys.len().min(MIN_SILENT_LEAFS) {
+                lost.insert(service.clone());
+            }
+            let unheard = after(reach.heard_any);
+            silent_leafs += unheard;
+            silent_services += usize::from(unheard > 0);
+        }
+        let is_cut_off = silent_leafs >= MIN_SILENT_LEAFS
+            && silent_services >= MIN_SILENT_SERVICES.min(self.services.len());
+        reach.lost = lost;
+        reach.is_cut_off = is_cut_off;
+        self.loss() != before
+    }
+
+    /// Whether this node reaches no leaf of a service. A service without leafs isn't lost.
+    #[must_use]
+    pub fn is_lost(&self, service: &str) -> bool {
+        (self.reach.is_cut_off || self.reach.lost.contains(service))
+            && !self.leafs(service).is_empty()
+    }
+
+    /// Iterates over the services that are lost.
+    pub fn lost_services(&self) -> impl Iterator<Item = &id::Name> {
+        self.services.keys().filter(|service| self.is_lost(service))
+    }
+
+    /// Returns what this node tells the others of its reach.
+    #[must_use]
+    pub fn loss(&self) -> Loss {
+        if self.reach.is_cut_off {
+            return Loss::Most;
+        }
+        let mut lost: Vec<&id::Name> = self.reach.lost.iter().collect();
+        lost.sort_unstable();
+        Loss::of(lost.into_iter().map(|service| Service::of(service)))
+    }
+
+    /// Counts the leafs and services in and out of reach.
+    #[must_use]
+    pub fn census(&self, now: Time) -> Census {
+        let mut census = Census {
+            services: self.services.len(),
+            is_cut_off: self.reach.is_cut_off,
+            ..Census::default()
+        };
+        for (service, keys) in &self.services {
+            let heard = self.reach.heard.get(service).copied();
+            let silent = keys.iter().filter(|key| self.leafs[key].silent_since(now) > heard);
+            census.leafs += keys.len();
+            census.silent_leafs += silent.count();
+            census.lost_services += usize::from(self.is_lost(service));
+        }
+        census
+    }
+}
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -88,7 +88,7 @@
 }
 
 /// Identifies a service among the nodes: a digest of its name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Service(u64);
 
 impl Service {
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -14,6 +14,7 @@
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 
+use crate::reach::Loss;
 use crate::transfer::Rank;
 
 /// Time without a heartbeat after which a node's address isn't given to callers.
@@ -117,6 +118,8 @@
     pub load: u16,
     /// What callers ask of it and of its zone.
     pub demand: Demand,
+    /// Services of which it reaches no leaf.
+    pub loss: Loss,
 }
 
 /// Another node, as this node knows it.
@@ -141,6 +144,8 @@
     pub load: u16,
     /// What callers ask of it and of its zone, according to its latest heartbeat.
     pub demand: Demand,
+    /// Services of which it reaches no leaf, according to its latest heartbeat.
+    pub loss: Loss,
     /// Whether [`Change::Silent`] was already reported for it since its latest heartbeat. Also
     /// `true` for a node that was never heard.
     silence_reported: bool,
@@ -153,6 +158,17 @@
     After,
 }
 
+/// Numbers of serving nodes that send heartbeats, by what they say of the leafs that they reach.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Reaching {
+    /// They reach leafs of all services.
+    pub all: usize,
+    /// They reach leafs of most services.
+    pub some: usize,
+    /// They are cut off.
+    pub none: usize,
+}
+
 /// Change of a node that sends no heartbeats.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -174,10 +190,16 @@
             active: false,
             load: 0,
             demand: Demand::default(),
+            loss: Loss::Nothing,
             silence_reported: true,
         }
     }
 
+    /// Whether its latest heartbeat is recent and says that it serves callers.
+    fn is_serving(&self, now: Time) -> bool {
+        self.phase == Phase::Serving && self.is_heard(now)
+    }
+
     /// Whether its latest heartbeat is recent.
     fn is_heard(&self, now: Time) -> bool {
         self.last_heard.is_some_and(|at| now.since(at) < SUSPECT_AFTER)
@@ -222,6 +244,7 @@
             active: beat.active,
             load: beat.load,
             demand: beat.demand,
+            loss: beat.loss.clone(),
             silence_reported: false,
         };
         self.members.insert(name.clone(), member);
@@ -284,6 +307,20 @@
         changes
     }
 
+    /// Counts the serving nodes that send heartbeats by the leafs that they reach.
+    #[must_use]
+    pub fn reaching(&self, now: Time) -> Reaching {
+        let mut reaching = Reaching::default();
+        for member in self.members.values().filter(|member| member.is_serving(now)) {
+            match member.loss {
+                Loss::Nothing => reaching.all += 1,
+                Loss::Services(_) => reaching.some += 1,
+                Loss::Most => reaching.none += 1,
+            }
+        }
+        reaching
+    }
+
     /// Iterates over the other nodes.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
--- a/crates/dispatch/tests/suite/main.rs
+++ b/crates/dispatch/tests/suite/main.rs
@@ -11,6 +11,7 @@
 mod overload;
 mod quarantine;
 mod rate_limits;
+mod reach;
 mod restore;
 mod roster;
 mod support;
--- a/crates/dispatch/tests/suite/rate_limits.rs
+++ b/crates/dispatch/tests/suite/rate_limits.rs
@@ -7,6 +7,7 @@
 use jacinthfall_core::history::Position;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::fleet::{Candidates, Limiter, Need, Placement, Statement};
+use jacinthfall_dispatch::reach::Loss;
 use jacinthfall_dispatch::roster::{Demand, Heartbeat, Node, Phase, Roster};
 use jacinthfall_dispatch::transfer::Rank;
 use proptest::prelude::*;
@@ -81,6 +82,7 @@
             active: true,
             load: 0,
             demand: Demand { node, zone: self.roster.zone_demand(&self.own, node) },
+            loss: Loss::Nothing,
         }
     }
 }
--- a/crates/dispatch/tests/suite/roster.rs
+++ b/crates/dispatch/tests/suite/roster.rs
@@ -4,6 +4,7 @@
 
 use jacinthfall_core::history::Position;
 use jacinthfall_core::time::Time;
+use jacinthfall_dispatch::reach::Loss;
 use jacinthfall_dispatch::roster::{
     Change, Demand, FORGET_AFTER, Heartbeat, Node, Phase, Roster, SUSPECT_AFTER,
 };
@@ -37,6 +38,7 @@
         active: true,
         load: 0,
         demand: Demand::default(),
+        loss: Loss::Nothing,
     }
 }
 
--- a/src/gateway/addresses.rs
+++ b/src/gateway/addresses.rs
@@ -2,6 +2,7 @@
 //! readiness check of the platform, metrics, and the log lines of single requests.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,8 +19,10 @@
 use jacinthfall_net::acceptor::Acceptor;
 use tokio::net::TcpListener;
 
+use super::audit::Named;
 use super::hub::Hub;
 use super::metrics;
+use super::tables::Tables;
 
 /// Maximum time to receive a request head, the idle time before it included.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -67,21 +70,32 @@
 
 fn addresses(hub: &Hub, query: &str) -> Response<Full<Bytes>> {
     let query = lookup::decode_query(query);
-    let addresses = {
+    let (addresses, cut_off) = {
         let tables = hub.tables();
         let own = (tables.phase == Phase::Serving).then_some(&hub.own);
-        tables.roster.caller_addresses(hub.now(), own, &query.zone)
+        let addresses = tables.roster.caller_addresses(hub.now(), own, &query.zone);
+        let cut_off = cut_off_nodes(hub, &tables, &addresses);
+        (addresses, cut_off)
     };
     if addresses.is_empty() {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
     let addresses = &addresses[..addresses.len().min(lookup::MAX_ADDRESSES)];
+    hub.audit.count_lookup(Named { addresses: addresses.len(), cut_off });
     let text = lookup::encode_answer(addresses, hub.settings.addresses.hold.as_secs_f64());
     let mut response = Response::new(Full::new(text.into()));
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     response
 }
 
+/// Returns how many of the addresses are of nodes that are cut off from leafs.
+fn cut_off_nodes(hub: &Hub, tables: &Tables, addresses: &[SocketAddr]) -> usize {
+    let others = tables.roster.members().filter(|member| member.loss.is_cut_off());
+    let others = others.filter(|member| addresses.contains(&member.node.callers)).count();
+    let own = tables.fleet.loss().is_cut_off() && addresses.contains(&hub.own.callers);
+    others + usize::from(own)
+}
+
 /// Returns the retained log lines about a request, or status 404 if there are none.
 fn trace(hub: &Hub, query: &str) -> Response<Full<Bytes>> {
     let lines = hub.audit.trace(lookup::field(query, "id").unwrap_or_default());
--- a/src/gateway/audit/mod.rs
+++ b/src/gateway/audit/mod.rs
@@ -51,6 +51,9 @@
 /// Maximum number of leafs in one summary of the requests to leafs with a rate limit.
 const MAX_RATE_LIMITED_LINES: usize = 40;
 
+/// Maximum number of services in a line about what this node reaches.
+const MAX_LOST_SERVICES: usize = 16;
+
 /// Maximum size of the retained lines about requests, in bytes.
 const MAX_HISTORY_BYTES: usize = 192 * 1024;
 
@@ -111,10 +114,30 @@
     traffic: Traffic,
     /// Number of calls to the store since the last summary, by kind.
     store_calls: BTreeMap<&'static str, u64>,
+    /// Look-ups of addresses since the last summary.
+    lookups: Lookups,
     /// When the last summary was logged.
     last_summary: Time,
 }
 
+/// Numbers of addresses in an answer to a look-up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Named {
+    /// All addresses.
+    pub addresses: usize,
+    /// Those of nodes that are cut off from leafs.
+    pub cut_off: usize,
+}
+
+/// Look-ups of addresses in a window.
+#[derive(Clone, Copy, Debug, Default)]
+struct Lookups {
+    /// Number of answers.
+    answers: u64,
+    /// What the latest answer named.
+    latest: Named,
+}
+
 /// Limits and retains the lines about requests, and counts answers.
 #[derive(Debug)]
 pub struct Audit(Mutex<Inner>);
@@ -129,6 +152,7 @@
             history: History::default(),
             traffic: Traffic::default(),
             store_calls: BTreeMap::new(),
+            lookups: Lookups::default(),
             last_summary: Time(0),
         }))
     }
@@ -314,6 +338,35 @@
         }
     }
 
+    /// Logs which leafs and services this node reaches, and what the other nodes say of theirs.
+    pub fn log_reach(&self, now: Time, tables: &Shared) {
+        let tables = tables.lock();
+        let (census, peers) = (tables.fleet.census(now), tables.roster.reaching(now));
+        let lost: Vec<&str> =
+            tables.fleet.lost_services().take(MAX_LOST_SERVICES).map(|name| &**name).collect();
+        log::info!(
+            "event=reach loss={} leafs={} silent={} services={} lost={} lost_services=[{}] \
+             peers_all={} peers_some={} peers_none={}",
+            tables.fleet.loss().name(),
+            census.leafs,
+            census.silent_leafs,
+            census.services,
+            census.lost_services,
+            lost.join(" "),
+            peers.all,
+            peers.some,
+            peers.none
+        );
+    }
+
+    /// Counts an answer to a look-up of addresses, which named this many of nodes that reach leafs
+    /// and of nodes that don't.
+    pub fn count_lookup(&self, named: Named) {
+        let mut inner = lock(&self.0);
+        inner.lookups.answers += 1;
+        inner.lookups.latest = named;
+    }
+
     /// Returns the retained lines about the requests with an id.
     #[must_use]
     pub fn trace(&self, id: &str) -> String {
@@ -330,15 +383,24 @@
         }
     }
 
-    /// Logs summaries of the calls to the store, of each route's traffic and of the requests to
-    /// leafs with a rate limit since the last ones.
+    /// Logs summaries of the calls to the store, of look-ups, of each route's traffic and of the
+    /// requests to leafs with a rate limit since the last ones.
     pub fn flush(&self, now: Time, tables: &Shared) {
         let mut inner = lock(&self.0);
         let window = now.since(inner.last_summary);
         inner.last_summary = now;
         let traffic = std::mem::take(&mut inner.traffic);
         let calls = std::mem::take(&mut inner.store_calls);
+        let lookups = std::mem::take(&mut inner.lookups);
         drop(inner);
+        if lookups.answers > 0 {
+            let Named { addresses, cut_off } = lookups.latest;
+            log::info!(
+                "event=lookups window_ms={} answers={} addresses={addresses} cut_off={cut_off}",
+                window.as_millis(),
+                lookups.answers
+            );
+        }
         if !calls.is_empty() {
             let calls = calls.iter().map(|(kind, count)| format!(" {kind}={count}"));
             let calls: String = calls.collect();
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -52,6 +52,9 @@
 /// has, before it asks the peer.
 pub const MAX_WATCH_LAG: Duration = Duration::from_millis(400);
 
+/// Time between two maintenance ticks from which on this process counts as having been paused.
+const MAX_TICK_GAP: Duration = Duration::from_secs(1);
+
 /// Addresses of this node that are announced to other nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Endpoints {
@@ -323,6 +326,14 @@
         self.pool.put_idle(key, sender, now, idle);
     }
 
+    /// Updates which leafs and services this node reaches, and tells the others if that has changed.
+    fn update_reach(&self, now: Time) {
+        if self.tables().fleet.update_reach(now) {
+            self.audit.log_reach(now, &self.tables);
+            self.heartbeat_due.notify_one();
+        }
+    }
+
     /// Closes the idle connections to a leaf.
     pub fn close_idle(&self, key: Key) {
         self.tables().fleet.record_closed(key);
@@ -398,6 +409,7 @@
 pub async fn maintain(hub: Arc<Hub>) {
     let mut interval = tokio::time::interval(MAINTENANCE_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut last_tick = hub.now();
     loop {
         interval.tick().await;
         let now = hub.now();
@@ -426,6 +438,11 @@
         if !expired.is_empty() {
             hub.apply_leaf_changes(&expired, "lapse");
         }
+        // After a pause of this process, responses are waiting to be read.
+        if now.since(last_tick) < MAX_TICK_GAP {
+            hub.update_reach(now);
+        }
+        last_tick = now;
         if hub.tables().phase == Phase::Starting {
             hub.serve_if_ready();
         }
--- a/src/gateway/leafs.rs
+++ b/src/gateway/leafs.rs
@@ -165,7 +165,7 @@
         Ok(Err(connection::Error::Unsent)) => Outcome::Unsent,
         Ok(Err(reason)) => {
             log::debug!("exchange with leaf {id} failed after the request was sent: {reason}");
-            guard.ending = Ending::Failure;
+            guard.ending = Ending::Broken;
             crashes::check(hub, Break::open(hub, outbound, key, now));
             Outcome::Unknown
         }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -51,6 +51,9 @@
     );
     describe_gauge!("jacinthfall_configuration_version", "Version of the configuration in force");
     describe_gauge!("jacinthfall_leafs_usable", "Leafs that may be given requests");
+    describe_gauge!("jacinthfall_leafs_silent", "Leafs that gave this node no response lately");
+    describe_gauge!("jacinthfall_services_lost", "Services of which this node reaches no leaf");
+    describe_gauge!("jacinthfall_cut_off", "Whether this node reaches no leaf at all");
     describe_gauge!(
         "jacinthfall_knowledge_age_seconds",
         "Time since the store, or a node that it answers, confirmed what this node knows"
@@ -114,6 +117,10 @@
     gauge!("jacinthfall_configuration_behind_seconds").set(behind);
     gauge!("jacinthfall_store_era").set(tables.upto.era as f64);
     gauge!("jacinthfall_leafs_usable").set(tables.catalog.usable().count() as f64);
+    let census = tables.fleet.census(now);
+    gauge!("jacinthfall_leafs_silent").set(census.silent_leafs as f64);
+    gauge!("jacinthfall_services_lost").set(census.lost_services as f64);
+    gauge!("jacinthfall_cut_off").set(if census.is_cut_off { 1.0 } else { 0.0 });
     gauge!("jacinthfall_nodes").set(tables.nodes as f64);
     gauge!("jacinthfall_requests_quarantined").set(tables.quarantine.quarantined(now) as f64);
     gauge!("jacinthfall_rate_limit_share").set(tables.fleet.share());
--- a/src/gateway/peers/heartbeats.rs
+++ b/src/gateway/peers/heartbeats.rs
@@ -108,6 +108,7 @@
         active: tables.is_active(),
         load: load.min(f64::from(u16::MAX)) as u16,
         demand: tables.stated_demand,
+        loss: tables.fleet.loss(),
     }
 }
 
