Add failing tests of a node that is cut off from leafs

A site of three real nodes, of which the first reaches the leafs through proxies that fall silent or reset connections. Four seconds after that its callers must be served at least two thirds as often as those of the others (RECOVER).

The stand-in of the store gets listeners over which some addresses stand for others, so that one node reaches leafs by other ways than the rest.

--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -34,6 +34,9 @@
 /// HTTP path of requests that change the faults and return the counters.
 const CONTROL: &str = "/control";
 
+/// Maximum number of open connections of a listener with a view.
+const VIEW_CONNECTIONS: usize = 256;
+
 /// State that waiting watches depend on; any change of it wakes them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Signal {
@@ -91,11 +94,32 @@
 
 type Reply = Result<Response<Full<Bytes>>, Failure>;
 
+/// Addresses that stand for others in the values that are read over one listener, so that some
+/// nodes reach leafs by other ways than the rest.
+#[derive(Clone, Debug, Default)]
+pub struct View(Vec<(String, String)>);
+
+impl View {
+    /// Creates a view in which each first address is replaced by the second one.
+    #[must_use]
+    pub fn open(addresses: &[(SocketAddr, SocketAddr)]) -> View {
+        let quoted = |address: &SocketAddr| format!("\"{address}\"");
+        View(addresses.iter().map(|(from, to)| (quoted(from), quoted(to))).collect())
+    }
+
+    fn apply(&self, value: &Bytes) -> Bytes {
+        let Ok(text) = std::str::from_utf8(value) else { return value.clone() };
+        let replace = |text: String, (from, to): &(String, String)| text.replace(from, to);
+        self.0.iter().fold(text.to_owned(), replace).into()
+    }
+}
+
 /// A running stand-in; dropping it stops the stand-in.
 #[derive(Debug)]
 pub struct Server {
     address: SocketAddr,
     accepting: JoinHandle<()>,
+    shared: Arc<Shared>,
 }
 
 impl Server {
@@ -104,6 +128,15 @@
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Binds a further listener on the same store, over which values are read through a view.
+    ///
+    /// # Errors
+    ///
+    /// Any error of the operating system while binding.
+    pub async fn bind_view(&self, address: SocketAddr, view: View) -> io::Result<Server> {
+        listen(address, Arc::clone(&self.shared), view, VIEW_CONNECTIONS).await
+    }
 }
 
 impl Drop for Server {
@@ -136,32 +169,42 @@
     };
     let (signal, _) = watch::channel(Signal { era: 0, revision: 0, outage: false, silent: false });
     let shared = Arc::new(Shared { clock: Clock::open(), state: Mutex::new(state), signal });
+    listen(address, shared, View::default(), settings.connections).await
+}
+
+async fn listen(
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    view: View,
+    connections: usize,
+) -> io::Result<Server> {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
-    let accepting = tokio::spawn(accept(listener, shared, settings.connections));
-    Ok(Server { address, accepting })
+    let accepting =
+        tokio::spawn(accept(listener, Arc::clone(&shared), Arc::new(view), connections));
+    Ok(Server { address, accepting, shared })
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>, connections: usize) {
+async fn accept(listener: TcpListener, shared: Arc<Shared>, view: Arc<View>, connections: usize) {
     let permits = Arc::new(Semaphore::new(connections));
     let mut acceptor = Acceptor::open(listener);
     loop {
         let (stream, _) = acceptor.accept().await;
         // A connection beyond the limit is closed at once.
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else { continue };
-        let shared = Arc::clone(&shared);
+        let (shared, view) = (Arc::clone(&shared), Arc::clone(&view));
         tokio::spawn(async move {
-            serve(stream, shared).await;
+            serve(stream, shared, view).await;
             drop(permit);
         });
     }
 }
 
-async fn serve(stream: TcpStream, shared: Arc<Shared>) {
+async fn serve(stream: TcpStream, shared: Arc<Shared>, view: Arc<View>) {
     let service = service_fn(move |request| {
-        let shared = Arc::clone(&shared);
+        let (shared, view) = (Arc::clone(&shared), Arc::clone(&view));
         async move {
-            let mut response = match respond(&shared, request).await {
+            let mut response = match respond(&shared, &view, request).await {
                 Err(Failure::Status(status)) => refusal(status),
                 Err(Failure::Lost) => return Err(Failure::Lost),
                 Ok(response) => response,
@@ -177,16 +220,16 @@
     }
 }
 
-async fn respond(shared: &Arc<Shared>, request: Request<Incoming>) -> Reply {
+async fn respond(shared: &Arc<Shared>, view: &View, request: Request<Incoming>) -> Reply {
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(|_| Failure::Lost)?.to_bytes();
     let path = head.uri.path();
     let query = Query(head.uri.query().unwrap_or_default());
     match path {
         CONTROL => control(shared, &body),
-        message::KEY => get(shared, &query).await,
-        message::RANGE => range(shared, &query).await,
-        message::WATCH => watch(shared, &query).await,
+        message::KEY => get(shared, view, &query).await,
+        message::RANGE => range(shared, view, &query).await,
+        message::WATCH => watch(shared, view, &query).await,
         message::TRANSACTION => commit(shared, &body).await,
         message::LEASE => grant(shared, &body).await,
         _ => match (path.strip_prefix(message::RENEWAL), path.strip_prefix(message::LEASE_END)) {
@@ -214,24 +257,24 @@
     text.parse().map_err(|_| Failure::Status(StatusCode::BAD_REQUEST))
 }
 
-async fn get(shared: &Shared, query: &Query<'_>) -> Reply {
+async fn get(shared: &Shared, view: &View, query: &Query<'_>) -> Reply {
     admit(shared, Call::Read).await?;
     let state = shared.lock();
     match state.store.get(query.text("key")) {
-        Some(item) => Ok(json(&encode(item))),
+        Some(item) => Ok(json(&encode(item, view))),
         None => Err(Failure::Status(StatusCode::NOT_FOUND)),
     }
 }
 
-async fn range(shared: &Shared, query: &Query<'_>) -> Reply {
+async fn range(shared: &Shared, view: &View, query: &Query<'_>) -> Reply {
     admit(shared, Call::Read).await?;
     let state = shared.lock();
     let (items, has_more) = state.store.range(query.text("prefix"), query.text("after"));
-    let items = items.iter().map(encode).collect();
+    let items = items.iter().map(|item| encode(item, view)).collect();
     Ok(json(&message::Page { items, has_more, as_of: state.store.revision() }))
 }
 
-async fn watch(shared: &Shared, query: &Query<'_>) -> Reply {
+async fn watch(shared: &Shared, view: &View, query: &Query<'_>) -> Reply {
     let after = number(query.text("after"))?;
     let wait = Duration::from_millis(number(query.text("wait-ms"))?);
     admit(shared, Call::Read).await?;
@@ -244,7 +287,7 @@
     };
     let as_of = shared.lock().store.revision();
     let revision = events.last().map_or(as_of, |last: &Item| last.revision);
-    let events = events.iter().map(encode).collect();
+    let events = events.iter().map(|item| encode(item, view)).collect();
     Ok(json(&message::Changes { events, as_of: revision }))
 }
 
@@ -300,7 +343,8 @@
         Ok(revision) => Ok(json(&message::Written { revision })),
         Err(Rejection::NoLease) => Err(Failure::Status(StatusCode::NOT_FOUND)),
         Err(Rejection::Conflict(items)) => {
-            let conflict = message::Conflict { items: items.iter().map(encode).collect() };
+            let items = items.iter().map(|item| encode(item, &View::default())).collect();
+            let conflict = message::Conflict { items };
             let mut response = json(&conflict);
             *response.status_mut() = StatusCode::PRECONDITION_FAILED;
             Ok(response)
@@ -489,10 +533,10 @@
     is_positive
 }
 
-fn encode(item: &Item) -> message::Item {
+fn encode(item: &Item, view: &View) -> message::Item {
     message::Item {
         key: item.key.to_string(),
-        value: item.value.as_ref().map(|value| BASE64.encode(value)),
+        value: item.value.as_ref().map(|value| BASE64.encode(view.apply(value))),
         revision: item.revision,
         create_revision: item.created,
         lease: item.lease,
--- a/crates/testkit/src/gateway/leaf.rs
+++ b/crates/testkit/src/gateway/leaf.rs
@@ -7,6 +7,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Path of the health check, which is not recorded as a run.
+const HEALTH: &str = "/healthz";
+
 /// How a leaf handles requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Behaviour {
@@ -311,6 +314,9 @@
         return send(writer, &text, b"");
     }
     let behaviour = state.behaviour.lock().expect("not poisoned").clone();
+    if run.target() == HEALTH && behaviour != Behaviour::Silent {
+        return send(writer, &format!("HTTP/1.1 200 OK\r\nx-instance-id: {own}\r\n"), b"");
+    }
     if behaviour == Behaviour::Reject {
         state.rejections.lock().expect("not poisoned").push(Instant::now());
         let text = format!("HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\n{headers}");
--- a/crates/testkit/src/gateway/site.rs
+++ b/crates/testkit/src/gateway/site.rs
@@ -9,7 +9,7 @@
 
 use jacinthfall_standin::platform::Settings;
 use jacinthfall_standin::platform::control::{Change, Counters, Put};
-use jacinthfall_standin::platform::server::{self, Server};
+use jacinthfall_standin::platform::server::{self, Server, View};
 use serde_json::{Value, json};
 
 use super::leaf::{Behaviour, Leaf};
@@ -55,8 +55,10 @@
     version: u64,
     /// The latest configuration document.
     document: Option<String>,
-    _server: Server,
-    _runtime: tokio::runtime::Runtime,
+    server: Server,
+    /// Further listeners of the store.
+    views: Vec<Server>,
+    runtime: tokio::runtime::Runtime,
 }
 
 impl Site {
@@ -84,8 +86,9 @@
             started: 0,
             version: 0,
             document: None,
-            _server: server,
-            _runtime: runtime,
+            server,
+            views: Vec::new(),
+            runtime,
         }
     }
 
@@ -176,6 +179,22 @@
         self.start_with(self.store);
     }
 
+    /// Starts a node for which each first address stands for the second one in what it reads from
+    /// the store. The nodes must not learn of leafs from each other: start them after the leafs
+    /// are registered, without seeds.
+    ///
+    /// # Panics
+    ///
+    /// If no port is free.
+    pub fn start_with_view(&mut self, addresses: &[(SocketAddr, SocketAddr)]) {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let view = self.server.bind_view(any, View::open(addresses));
+        let view = self.runtime.block_on(view).expect("a free port");
+        let store = view.address();
+        self.views.push(view);
+        self.start_with_seeds(store, &[]);
+    }
+
     /// Starts a node whose settings name `store` as the store's address.
     pub fn start_with(&mut self, store: SocketAddr) {
         let seeds: Vec<SocketAddr> = self.nodes.iter().map(|node| node.peers).collect();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -72,6 +72,7 @@
         "Share of this node in the rate limits that leafs state"
     );
     describe_gauge!("jacinthfall_nodes", "Nodes that share the bound on extra sends");
+    describe_gauge!("jacinthfall_nodes_known", "Nodes that this node knows, itself included");
     describe_gauge!("jacinthfall_requests_in_hand", "Requests without an answer yet");
     describe_counter!(
         "jacinthfall_store_restores_total",
@@ -121,6 +122,7 @@
     gauge!("jacinthfall_leafs_silent").set(census.silent_leafs as f64);
     gauge!("jacinthfall_services_lost").set(census.lost_services as f64);
     gauge!("jacinthfall_cut_off").set(if census.is_cut_off { 1.0 } else { 0.0 });
+    gauge!("jacinthfall_nodes_known").set((tables.roster.len() + 1) as f64);
     gauge!("jacinthfall_nodes").set(tables.nodes as f64);
     gauge!("jacinthfall_requests_quarantined").set(tables.quarantine.quarantined(now) as f64);
     gauge!("jacinthfall_rate_limit_share").set(tables.fleet.share());
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod callers;
 mod changes;
+mod cut_off;
 mod endless;
 mod explain;
 mod faults;
