Leave nodes that are cut off from leafs out of the addresses for callers

Callers kept being sent to nodes that couldn't serve them: every look-up named them for the whole cut. Where all nodes of a zone are cut off, its callers are given those of other zones.

Test: callers_are_given_the_addresses_of_cut_nodes_only_if_all_are_cut_off.

--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -99,6 +99,15 @@
     pub zone: u32,
 }
 
+/// This node, as far as it matters to the callers that it names addresses to.
+#[derive(Clone, Copy, Debug)]
+pub struct Own<'a> {
+    /// Its description.
+    pub node: &'a Node,
+    /// Whether it is cut off from leafs.
+    pub is_cut_off: bool,
+}
+
 /// A heartbeat of a node.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -196,7 +205,8 @@
     }
 
     /// Whether its latest heartbeat is recent and says that it serves callers.
-    fn is_serving(&self, now: Time) -> bool {
+    #[must_use]
+    pub fn is_serving(&self, now: Time) -> bool {
         self.phase == Phase::Serving && self.is_heard(now)
     }
 
@@ -326,6 +336,12 @@
         self.members.values()
     }
 
+    /// Returns the node with a name, if it is known.
+    #[must_use]
+    pub fn member(&self, name: &str) -> Option<&Member> {
+        self.members.get(name)
+    }
+
     /// Returns the number of other nodes.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -459,10 +475,11 @@
     }
 
     /// Returns the addresses for callers in a zone, those in the zone first. Nodes of other
-    /// zones are left out if the zone has enough nodes, and weak nodes while the strong ones
-    /// have spare capacity.
+    /// zones are left out if the zone has enough nodes, weak nodes while the strong ones have
+    /// spare capacity, and nodes that are cut off from leafs unless all are. `own` describes this
+    /// node if it serves callers.
     #[must_use]
-    pub fn caller_addresses(&self, now: Time, own: Option<&Node>, zone: &str) -> Vec<SocketAddr> {
+    pub fn caller_addresses(&self, now: Time, own: Option<Own<'_>>, zone: &str) -> Vec<SocketAddr> {
         let small = self.members.len() <= MAX_BROADCAST_NODES;
         let members = self.members.values().filter(|member| {
             // In a large deployment, nodes of other zones send heartbeats to this one only now
@@ -470,8 +487,15 @@
             let registered = !small && *member.node.zone != *zone && member.registered;
             member.phase == Phase::Serving && (member.is_heard(now) || registered)
         });
-        let members = members.map(|member| (&member.node, f64::from(member.load) / 1_000.0));
-        let mut nodes: Vec<(&Node, f64)> = members.chain(own.map(|own| (own, 0.0))).collect();
+        let members = members.map(|member| {
+            (&member.node, f64::from(member.load) / 1_000.0, member.loss.is_cut_off())
+        });
+        let own = own.map(|own| (own.node, 0.0, own.is_cut_off));
+        let (cut_off, reaching): (Vec<_>, Vec<_>) =
+            members.chain(own).partition(|(_, _, is_cut_off)| *is_cut_off);
+        let nodes = if reaching.is_empty() { cut_off } else { reaching };
+        let mut nodes: Vec<(&Node, f64)> =
+            nodes.into_iter().map(|(node, load, _)| (node, load)).collect();
         nodes.sort_unstable_by_key(|(node, _)| (*node.zone != *zone, node.callers));
         let near = nodes.iter().filter(|(node, _)| *node.zone == *zone).count();
         if near >= MIN_ZONE_NODES {
--- a/crates/dispatch/tests/suite/roster.rs
+++ b/crates/dispatch/tests/suite/roster.rs
@@ -6,7 +6,7 @@
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::reach::Loss;
 use jacinthfall_dispatch::roster::{
-    Change, Demand, FORGET_AFTER, Heartbeat, Node, Phase, Roster, SUSPECT_AFTER,
+    Change, Demand, FORGET_AFTER, Heartbeat, Node, Own, Phase, Roster, SUSPECT_AFTER,
 };
 use jacinthfall_dispatch::transfer::Rank;
 
@@ -186,7 +186,7 @@
         }
 
         for (beat, roster) in beats.iter().zip(&rosters) {
-            let own = Some(&beat.node);
+            let own = Some(Own { node: &beat.node, is_cut_off: false });
             let ports = roster.caller_addresses(now, own, "z");
             let ports: Vec<u16> = ports.iter().map(SocketAddr::port).collect();
             assert_eq!(ports, [1_003, 1_028, 1_053], "asked {}", beat.node.name);
@@ -327,3 +327,39 @@
     assert_eq!(names(&roster, Time(0)), ["near"]);
     assert!(names(&roster, Time(0) + SUSPECT_AFTER).is_empty());
 }
+
+/// Returns the heartbeat of a node that is cut off from leafs.
+fn cut_off(name: &str) -> Heartbeat {
+    Heartbeat { loss: Loss::Most, ..beat(name, Phase::Serving) }
+}
+
+#[test]
+fn callers_are_given_the_addresses_of_cut_nodes_only_if_all_are_cut_off() {
+    let mut roster = Roster::default();
+    roster.record_heartbeat(Time(0), &cut_off("a"));
+    roster.record_heartbeat(Time(0), &beat("b", Phase::Serving));
+    let node = node("own", 1);
+    let own = Own { node: &node, is_cut_off: true };
+
+    let some = roster.caller_addresses(Time(0), Some(own), "z");
+    roster.record_heartbeat(Time(1), &cut_off("b"));
+    let all = roster.caller_addresses(Time(1), Some(own), "z");
+
+    assert_eq!(some, [beat("b", Phase::Serving).node.callers]);
+    assert_eq!(all.len(), 3, "callers must not be left without an address");
+}
+
+#[test]
+fn callers_of_a_zone_whose_nodes_are_all_cut_off_are_given_nodes_of_other_zones() {
+    let mut roster = Roster::default();
+    for name in ["a", "b", "c", "d"] {
+        roster.record_heartbeat(Time(0), &cut_off(name));
+    }
+    let mut far = beat("far", Phase::Serving);
+    far.node.zone = "y".into();
+    roster.record_heartbeat(Time(0), &far);
+
+    let addresses = roster.caller_addresses(Time(0), None, "z");
+
+    assert_eq!(addresses, [far.node.callers]);
+}
--- a/src/gateway/addresses.rs
+++ b/src/gateway/addresses.rs
@@ -15,7 +15,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use jacinthfall_adapter::lookup;
-use jacinthfall_dispatch::roster::Phase;
+use jacinthfall_dispatch::roster::{Own, Phase};
 use jacinthfall_net::acceptor::Acceptor;
 use tokio::net::TcpListener;
 
@@ -72,7 +72,9 @@
     let query = lookup::decode_query(query);
     let (addresses, cut_off) = {
         let tables = hub.tables();
-        let own = (tables.phase == Phase::Serving).then_some(&hub.own);
+        let is_cut_off = tables.fleet.loss().is_cut_off();
+        let own = Own { node: &hub.own, is_cut_off };
+        let own = (tables.phase == Phase::Serving).then_some(own);
         let addresses = tables.roster.caller_addresses(hub.now(), own, &query.zone);
         let cut_off = cut_off_nodes(hub, &tables, &addresses);
         (addresses, cut_off)
