Serve callers of a node that is cut off from leafs through other nodes

What callers saw: nodes that had lost their links to all leafs, while callers, the store and the other nodes reached them, served 0 to 3 of 260 to 605 first tries, the others all.

Change: a request that needs a service of which the node has lost all leafs goes as a whole to one other node that says that it reaches them, and no further. dispatch::relay chooses the node: few for each node, near ones with spare capacity first, none that failed lately. The other node must have the same or a later configuration in force; it gets the time that is left, the fingerprint's fields, and the service that was chosen for a split route. What surely reached no leaf is offered to a second node; what may have run never is, and gets 502. A caller that leaves cancels its request there too.

--- a/crates/dispatch/src/caller_timeout.rs
+++ b/crates/dispatch/src/caller_timeout.rs
@@ -12,6 +12,7 @@
 //! until it has seen enough requests itself. Where no caller uses a connection twice, an upper
 //! quantile of all timeouts is taken as the timeout of first attempts.
 
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Number of different values that are kept; those seen least are replaced.
@@ -46,7 +47,7 @@
 const FIRST_ATTEMPT_QUANTILE: f64 = 0.75;
 
 /// Whether a request is the first one on its connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Connection {
     /// It is. Its caller has spent the time to connect, and perhaps earlier attempts.
     New,
--- a/crates/dispatch/src/fleet/leaf.rs
+++ b/crates/dispatch/src/fleet/leaf.rs
@@ -319,6 +319,13 @@
         Some(Change::Paused(pause))
     }
 
+    /// Lets it be sent requests at once, although it could not be reached. If that fails again,
+    /// its pause is as long as it would have been.
+    pub(super) fn clear_suspicion(&mut self) {
+        self.suspect = false;
+        self.paused_until = Time(0);
+    }
+
     /// Returns the maximum number of concurrent requests, given the limit of its service.
     pub(super) fn limit(&self, now: Time, limit: usize) -> usize {
         match self.connection_limit {
--- a/crates/dispatch/src/fleet/reach.rs
+++ b/crates/dispatch/src/fleet/reach.rs
@@ -9,6 +9,7 @@
 
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
+use rand::seq::IndexedRandom;
 
 use super::leaf::{Ending, Leaf};
 use super::{Fleet, Key};
@@ -29,6 +30,9 @@
 /// Time without a response after which a send counts as unanswered, in usual response times.
 const PATIENCE_RESPONSES: u32 = 4;
 
+/// Maximum number of leafs that are probed at the same time.
+const MAX_PROBES: usize = 3;
+
 /// Returns the time after which a send with a usual response time counts as unanswered.
 pub(super) fn patience(usual: Duration) -> Duration {
     MIN_PATIENCE + usual * PATIENCE_RESPONSES
@@ -65,7 +69,7 @@
 impl Leaf {
     /// Returns when the latest send or connection attempt began that got no response and is
     /// overdue.
-    fn silent_since(&self, now: Time) -> Option<Time> {
+    pub(super) fn silent_since(&self, now: Time) -> Option<Time> {
         let overdue = self.sends.iter().filter(|send| send.is_overdue(now)).map(|send| send.at);
         overdue.chain(self.missed).max()
     }
@@ -94,14 +98,31 @@
         }
     }
 
-    /// Records that a leaf has responded or accepted a connection.
+    /// Records that a leaf has responded. If no leaf could be reached until now, all are tried
+    /// again at once: it was a link of this node that had failed.
     pub fn record_heard(&mut self, now: Time, key: Key) {
-        let Some(leaf) = self.leafs.get(&key) else { return };
+        let Some(leaf) = self.leafs.get_mut(&key) else { return };
         let service = leaf.entry.service.clone();
-        self.reach.lost.remove(&service);
-        self.reach.heard.insert(service, now);
         self.reach.heard_any = Some(now);
-        self.reach.is_cut_off = false;
+        if std::mem::take(&mut self.reach.is_cut_off) {
+            self.leafs.values_mut().for_each(Leaf::clear_suspicion);
+            self.reach.heard = self.services.keys().map(|name| (name.clone(), now)).collect();
+            self.reach.lost.clear();
+            return;
+        }
+        if self.reach.lost.remove(&service) {
+            leaf.clear_suspicion();
+        }
+        self.reach.heard.insert(service, now);
+    }
+
+    /// Chooses leafs to be asked whether they can be reached: one of each lost service, for
+    /// [`MAX_PROBES`] services at most.
+    pub fn choose_lost_leafs(&mut self) -> Vec<Key> {
+        let lost: Vec<id::Name> = self.lost_services().cloned().collect();
+        let Fleet { services, rng, .. } = self;
+        let chosen: Vec<&id::Name> = lost.choose_multiple(rng, MAX_PROBES).collect();
+        chosen.into_iter().filter_map(|service| services[service].choose(rng).copied()).collect()
     }
 
     /// Updates which services are lost. Returns `true` if [`Fleet::loss`] has changed.
--- /dev/null
+++ b/crates/dispatch/src/relay.rs
@@ -0,0 +1,174 @@
+//! Chooses the nodes that serve requests on behalf of this one, which has lost its links to their
+//! leafs.
+//!
+//! Answers the load of a node that callers still reach, but which reaches no leafs: it is spread
+//! over a few nodes that do, near ones with spare capacity first. Each node uses few others, so
+//! that the connections between them stay bounded in a large deployment. A node that fails or
+//! turns a request away is left out for a while, whatever its heartbeats say.
+
+use std::time::Duration;
+
+use jacinthfall_core::id;
+use jacinthfall_core::time::Time;
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+use crate::quarantine::Service;
+use crate::roster::{Member, Node, Roster};
+
+/// Number of nodes that requests are spread over.
+const MAX_RELAYS: usize = 3;
+
+/// First pause of a node that failed or turned a request away; the pause doubles each time.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+
+/// Maximum pause of such a node.
+const MAX_PAUSE: Duration = Duration::from_secs(4);
+
+/// Load of a node by which one in the same availability zone may exceed it and still be preferred.
+const SAME_ZONE_ADVANTAGE: f64 = 0.25;
+
+/// Load that a request in flight to a node adds to what the node states.
+const IN_FLIGHT_LOAD: f64 = 0.02;
+
+/// Minimum spare capacity of a node, as a share, for the random choice.
+const MIN_SPARE: f64 = 0.05;
+
+/// How a request to another node ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// It was answered.
+    Answered,
+    /// The node turned it away without running it.
+    Declined,
+    /// The node could not be reached, or its answer was lost.
+    Failed,
+    /// This node cancelled it.
+    Cancelled,
+}
+
+/// A node that requests are sent to, or were until it failed.
+#[derive(Clone, Debug)]
+struct Relay {
+    name: id::Name,
+    /// Start of its process.
+    started: u64,
+    in_flight: usize,
+    paused_until: Time,
+    next_pause: Duration,
+}
+
+impl Relay {
+    fn open(node: &Node) -> Relay {
+        Relay {
+            name: node.name.clone(),
+            started: node.started,
+            in_flight: 0,
+            paused_until: Time(0),
+            next_pause: FIRST_PAUSE,
+        }
+    }
+}
+
+/// Chooses among the nodes that reach the leafs of a request.
+#[derive(Debug, Default)]
+pub struct Selector {
+    /// Nodes in use, and those that are paused.
+    relays: Vec<Relay>,
+}
+
+impl Selector {
+    /// Returns a node that serves callers and says that it reaches leafs of these services, except
+    /// for those in `tried`; `None` if there is none.
+    pub fn choose(
+        &mut self,
+        now: Time,
+        roster: &Roster,
+        own: &Node,
+        lost: &[Service],
+        tried: &[id::Name],
+        rng: &mut impl Rng,
+    ) -> Option<Node> {
+        self.relays.retain(|relay| {
+            let known = roster.member(&relay.name);
+            let is_same = known.is_some_and(|member| member.node.started == relay.started);
+            is_same
+                && (relay.paused_until > now || relay.in_flight > 0 || is_able(known, now, lost))
+        });
+        let members: Vec<&Member> = roster
+            .members()
+            .filter(|member| is_able(Some(member), now, lost))
+            .filter(|member| !tried.contains(&member.node.name) && !self.is_paused(now, member))
+            .collect();
+        let (used, unused): (Vec<&Member>, Vec<&Member>) =
+            members.into_iter().partition(|member| self.relay(&member.node.name).is_some());
+        let mut candidates = used;
+        let missing = MAX_RELAYS.saturating_sub(candidates.len());
+        let weight = |member: &&Member| spare_capacity(member);
+        if let Ok(chosen) = unused.choose_multiple_weighted(rng, missing, weight) {
+            candidates.extend(chosen.copied());
+        }
+        let cost = |member: &&Member| self.cost(member, own);
+        let best = candidates.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
+        Some(best.node.clone())
+    }
+
+    /// Records that a request was sent to a node.
+    pub fn record_send(&mut self, node: &Node) {
+        match self.relays.iter_mut().find(|relay| relay.name == node.name) {
+            Some(relay) => relay.in_flight += 1,
+            None => self.relays.push(Relay { in_flight: 1, ..Relay::open(node) }),
+        }
+    }
+
+    /// Records how a request to a node ended. Returns the pause of the node, if it is left out for
+    /// a while.
+    pub fn record_end(&mut self, now: Time, name: &str, ending: Ending) -> Option<Duration> {
+        let relay = self.relays.iter_mut().find(|relay| *relay.name == *name)?;
+        relay.in_flight = relay.in_flight.saturating_sub(1);
+        match ending {
+            Ending::Answered => {
+                relay.next_pause = FIRST_PAUSE;
+                None
+            }
+            Ending::Cancelled => None,
+            Ending::Declined | Ending::Failed if relay.paused_until > now => None,
+            Ending::Declined | Ending::Failed => {
+                let pause = relay.next_pause;
+                relay.paused_until = now + pause;
+                relay.next_pause = (pause * 2).min(MAX_PAUSE);
+                Some(pause)
+            }
+        }
+    }
+
+    fn relay(&self, name: &str) -> Option<&Relay> {
+        self.relays.iter().find(|relay| *relay.name == *name)
+    }
+
+    fn is_paused(&self, now: Time, member: &Member) -> bool {
+        self.relay(&member.node.name).is_some_and(|relay| relay.paused_until > now)
+    }
+
+    /// Returns the load of a node, with a penalty for its distance.
+    fn cost(&self, member: &Member, own: &Node) -> f64 {
+        let in_flight = self.relay(&member.node.name).map_or(0, |relay| relay.in_flight);
+        let distance = if member.node.zone == own.zone { 0.0 } else { SAME_ZONE_ADVANTAGE };
+        stated_load(member) + IN_FLIGHT_LOAD * in_flight as f64 + distance
+    }
+}
+
+/// Whether a node serves callers and says that it reaches leafs of these services.
+fn is_able(member: Option<&Member>, now: Time, lost: &[Service]) -> bool {
+    member.is_some_and(|member| {
+        member.is_serving(now) && !lost.iter().any(|service| member.loss.includes(*service))
+    })
+}
+
+fn stated_load(member: &Member) -> f64 {
+    f64::from(member.load) / 1_000.0
+}
+
+fn spare_capacity(member: &Member) -> f64 {
+    f64::from(member.node.capacity.max(1)) * (1.0 - stated_load(member)).max(MIN_SPARE)
+}
--- a/crates/dispatch/tests/suite/main.rs
+++ b/crates/dispatch/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod quarantine;
 mod rate_limits;
 mod reach;
+mod relay;
 mod restore;
 mod roster;
 mod support;
--- a/crates/route/src/snapshot.rs
+++ b/crates/route/src/snapshot.rs
@@ -26,6 +26,8 @@
     pub name: id::Name,
     /// Maximum number of connections that each of its leafs accepts from all nodes together.
     pub max_connections: usize,
+    /// Path at which its leafs answer health checks.
+    pub health_path: String,
 }
 
 /// One service of a [`Target::Split`].
--- a/src/gateway/audit/lines.rs
+++ b/src/gateway/audit/lines.rs
@@ -56,7 +56,7 @@
         "event=answer id={:?} request={} route={} outcome={} detail={} took_ms={} waited_ms={} parts={} \
          done={} dead={} extra={} missing=[{}] objective_ms={} deadline_ms={} spent_ms={} \
          connection={} transport_ms={} lag_ms={} \
-         version={} behind_ms={} upto={} known_ms={} steps_left_out={skipped} passed_over={passed_over}",
+         version={} origin={} behind_ms={} upto={} known_ms={} steps_left_out={skipped} passed_over={passed_over}",
         header_text(request.id),
         request.fingerprint,
         request.route.name,
@@ -76,6 +76,7 @@
         timing.transport().as_millis(),
         timing.lag.as_millis(),
         request.version,
+        request.origin.map_or("-", |node| &**node),
         tables.ranks.time_behind(now).as_millis(),
         tables.upto,
         now.since(tables.confirmed).as_millis(),
--- a/src/gateway/audit/mod.rs
+++ b/src/gateway/audit/mod.rs
@@ -51,6 +51,9 @@
 /// Maximum number of leafs in one summary of the requests to leafs with a rate limit.
 const MAX_RATE_LIMITED_LINES: usize = 40;
 
+/// Maximum number of nodes in one summary of the requests that others were asked to serve.
+const MAX_RELAY_LINES: usize = 8;
+
 /// Maximum number of services in a line about what this node reaches.
 const MAX_LOST_SERVICES: usize = 16;
 
@@ -81,6 +84,29 @@
     pub connection: Connection,
     /// Version of the configuration that was in force when it arrived.
     pub version: u64,
+    /// Node that the caller sent it to, if it isn't this one.
+    pub origin: Option<&'a id::Name>,
+}
+
+/// A request that another node was asked to serve.
+#[derive(Clone, Copy, Debug)]
+pub struct Relayed<'a> {
+    /// Request id from the caller.
+    pub id: &'a HeaderValue,
+    /// What identifies the request, whatever the attempt's id.
+    pub fingerprint: Fingerprint,
+    /// Route of the request.
+    pub route: &'a id::Name,
+    /// The other node.
+    pub node: &'a id::Name,
+    /// How that ended, in one word.
+    pub outcome: &'static str,
+    /// HTTP status of the answer; 0 if there is none.
+    pub status: u16,
+    /// Time since the request arrived.
+    pub took: Duration,
+    /// Version of the configuration that the other node was asked to have in force.
+    pub version: u64,
 }
 
 /// Retained lines about the latest requests.
@@ -114,6 +140,8 @@
     traffic: Traffic,
     /// Number of calls to the store since the last summary, by kind.
     store_calls: BTreeMap<&'static str, u64>,
+    /// Requests that other nodes were asked to serve since the last summary, by node.
+    relays: BTreeMap<id::Name, Relays>,
     /// Look-ups of addresses since the last summary.
     lookups: Lookups,
     /// When the last summary was logged.
@@ -129,6 +157,14 @@
     pub cut_off: usize,
 }
 
+/// Requests that one node was asked to serve in a window.
+#[derive(Clone, Copy, Debug, Default)]
+struct Relays {
+    requests: u64,
+    /// Those that weren't answered with success.
+    failures: u64,
+}
+
 /// Look-ups of addresses in a window.
 #[derive(Clone, Copy, Debug, Default)]
 struct Lookups {
@@ -152,6 +188,7 @@
             history: History::default(),
             traffic: Traffic::default(),
             store_calls: BTreeMap::new(),
+            relays: BTreeMap::new(),
             lookups: Lookups::default(),
             last_summary: Time(0),
         }))
@@ -188,6 +225,31 @@
         inner.history.push(header_text(request.id), lines.join("\n"));
     }
 
+    /// Counts and logs a request that another node was asked to serve.
+    pub fn record_relayed(&self, now: Time, request: &Relayed<'_>) {
+        let Relayed { id, fingerprint, route, node, outcome, status, took, version } = request;
+        counter!("jacinthfall_relayed_requests_total", "outcome" => *outcome).increment(1);
+        let is_success = (200..300).contains(status);
+        let passed_over = {
+            let mut inner = lock(&self.0);
+            let relays = inner.relays.entry((*node).clone()).or_default();
+            relays.requests += 1;
+            relays.failures += u64::from(!is_success);
+            let grade = if is_success { Grade::Whole } else { Grade::Failed };
+            inner.sampler(grade).admit(now)
+        };
+        let Some(passed_over) = passed_over else { return };
+        let id = header_text(id);
+        let line = format!(
+            "event=relayed id={id:?} request={fingerprint} route={route} node={node} \
+             outcome={outcome} status={status} took_ms={} version={version} \
+             passed_over={passed_over}",
+            took.as_millis()
+        );
+        log::info!("{line}");
+        lock(&self.0).history.push(id, line);
+    }
+
     /// Counts and logs a request that was rejected before any leaf was chosen.
     pub fn record_rejection(&self, now: Time, tables: &Shared, request: &Rejection<'_>) {
         let Rejection { id, status, reason, host, path } = request;
@@ -392,7 +454,14 @@
         let traffic = std::mem::take(&mut inner.traffic);
         let calls = std::mem::take(&mut inner.store_calls);
         let lookups = std::mem::take(&mut inner.lookups);
+        let relays = std::mem::take(&mut inner.relays);
         drop(inner);
+        for (node, Relays { requests, failures }) in relays.iter().take(MAX_RELAY_LINES) {
+            log::info!(
+                "event=relays node={node} window_ms={} requests={requests} failures={failures}",
+                window.as_millis()
+            );
+        }
         if lookups.answers > 0 {
             let Named { addresses, cut_off } = lookups.latest;
             log::info!(
--- a/src/gateway/callers/driver.rs
+++ b/src/gateway/callers/driver.rs
@@ -48,6 +48,8 @@
     /// Version of the configuration that was in force when the request arrived.
     version: u64,
     arrived: Time,
+    /// Node that the caller sent the request to, if it isn't this one.
+    origin: Option<id::Name>,
     /// Whether the result of the request has been logged.
     recorded: bool,
     sends: Sends,
@@ -65,16 +67,41 @@
         let ended = mpsc::unbounded_channel();
         let (outbound, sends) = (Arc::new(outbound), Sends::default());
         let arrived = hub.now();
-        Driver { hub, route, flight, outbound, version, arrived, recorded: false, sends, ended }
+        Driver {
+            hub,
+            route,
+            flight,
+            outbound,
+            version,
+            arrived,
+            origin: None,
+            recorded: false,
+            sends,
+            ended,
+        }
+    }
+
+    /// Sets the node that the caller sent the request to, if it isn't this one.
+    pub(super) fn set_origin(&mut self, origin: id::Name) {
+        self.origin = Some(origin);
+    }
+
+    /// Returns the request in the form in which it is forwarded.
+    pub(super) fn outbound(&self) -> Arc<Outbound> {
+        Arc::clone(&self.outbound)
+    }
+
+    /// Records that another node has served the request, which has log lines of its own.
+    pub(super) fn set_relayed(&mut self) {
+        self.recorded = true;
     }
 
-    /// Runs the request until there is an answer.
-    pub(super) async fn run(mut self) -> Answer {
+    /// Runs the request until there is an answer, which the caller of this function records.
+    pub(super) async fn run(&mut self) -> Answer {
         self.hub.tables().demand.add(self.flight.part_count());
         let mut actions = self.decide(|flight, now, context| flight.start(now, context));
         loop {
             if let Some(answer) = self.execute(actions) {
-                self.record(Some(&answer));
                 // Sends that are still in flight run on: they measure the response times of leafs.
                 self.sends.keep_running = true;
                 return answer;
@@ -148,7 +175,7 @@
     }
 
     /// Logs the answer; `None` if the caller disconnected before there was one.
-    fn record(&mut self, answer: Option<&Answer>) {
+    pub(super) fn record(&mut self, answer: Option<&Answer>) {
         self.recorded = true;
         let request = audit::Request {
             id: &self.outbound.id,
@@ -160,6 +187,7 @@
             timing: self.outbound.timing,
             connection: self.outbound.connection,
             version: self.version,
+            origin: self.origin.as_ref(),
         };
         self.hub.audit.record_answer(self.hub.now(), &self.hub.tables, &request, answer);
     }
--- a/src/gateway/callers/mod.rs
+++ b/src/gateway/callers/mod.rs
@@ -1,9 +1,11 @@
 //! HTTP server for callers: receives their requests, drives the sends to leafs and answers.
 //!
 //! `request` checks a request, finds its route and reads it; `driver` carries out the decisions
-//! of a [`Flight`] until there is an answer, and `response` puts the answer into HTTP.
+//! of a [`Flight`] until there is an answer, and `response` puts the answer into HTTP. `relay`
+//! serves requests through other nodes, and theirs.
 
 mod driver;
+mod relay;
 mod request;
 mod response;
 
@@ -22,14 +24,17 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use jacinthfall_dispatch::caller_timeout::Connection;
-use jacinthfall_dispatch::flight::Flight;
+use jacinthfall_dispatch::flight::{Answer, Flight};
 use jacinthfall_dispatch::roster::Phase;
 use jacinthfall_net::acceptor::Acceptor;
 use jacinthfall_route::snapshot::{Limits, Route, Snapshot, Target};
 use tokio::net::{TcpListener, TcpStream};
 
 use super::hub::Hub;
+pub use relay::serve_relayed;
+
 use driver::Driver;
+use relay::Inbound;
 use request::{Head, Rejection};
 
 /// Limits that apply until a configuration is known.
@@ -156,7 +161,23 @@
         Target::Split(shares) => hub.tables().statistics(route).selector.next(shares),
         Target::Service(_) | Target::Gather(_) => None,
     };
-    let flight = Flight::open(Arc::clone(route), service, now, outbound.timing);
-    let answer = Driver::open(hub, route, snapshot.version, flight, outbound).run().await;
+    let flight = Flight::open(Arc::clone(route), service.clone(), now, outbound.timing);
+    let mut driver = Driver::open(hub, route, snapshot.version, flight, outbound);
+    let outbound = driver.outbound();
+    let arrived = hub.now();
+    let inbound = Inbound { hub, route, service: service.as_ref(), outbound: &outbound, arrived };
+    if let Some(response) = inbound.relay().await {
+        driver.set_relayed();
+        return Ok(response);
+    }
+    let answer = driver.run().await;
+    // The loss of the leafs may only have shown meanwhile, and nothing has run.
+    if matches!(answer, Answer::Refused { .. })
+        && let Some(response) = inbound.relay().await
+    {
+        driver.set_relayed();
+        return Ok(response);
+    }
+    driver.record(Some(&answer));
     Ok(response::respond(answer))
 }
--- /dev/null
+++ b/src/gateway/callers/relay.rs
@@ -0,0 +1,300 @@
+//! Serves requests through another node while this one has lost its links to leafs that they
+//! need, and requests of other nodes that have lost theirs.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Full};
+use jacinthfall_adapter::header;
+use jacinthfall_core::id;
+use jacinthfall_core::time::Time;
+use jacinthfall_dispatch::flight::{Flight, Timing};
+use jacinthfall_dispatch::quarantine::Service;
+use jacinthfall_dispatch::relay::Ending;
+use jacinthfall_dispatch::roster::Node;
+use jacinthfall_route::snapshot::{Route, Target};
+use metrics::{counter, histogram};
+
+use super::InFlight;
+use super::driver::Driver;
+use super::request::{Rejection, fingerprint};
+use super::response::{respond, text};
+use crate::gateway::audit::Relayed;
+use crate::gateway::hub::Hub;
+use crate::gateway::leafs::Outbound;
+use crate::gateway::peers::relay::{
+    Answer, Failure, Query, Refusal, Reply, decode_headers, encode_headers,
+};
+use crate::gateway::tables::Tables;
+
+/// Maximum number of nodes that are asked to serve one request. Only one of them may get it
+/// to leafs.
+const MAX_NODES: usize = 2;
+
+/// Time before the caller's deadline at which the answer of the other node must be there.
+const RETURN_MARGIN: Duration = Duration::from_millis(10);
+
+/// Maximum number of requests that this node serves on behalf of others at the same time.
+const MAX_SERVED: usize = 256;
+
+/// A caller's request at the node that the caller sent it to.
+pub(super) struct Inbound<'a> {
+    pub(super) hub: &'a Arc<Hub>,
+    pub(super) route: &'a Route,
+    /// Service that was chosen for a route that splits its requests over several.
+    pub(super) service: Option<&'a id::Name>,
+    pub(super) outbound: &'a Outbound,
+    /// When it was received completely.
+    pub(super) arrived: Time,
+}
+
+impl Inbound<'_> {
+    /// Serves the request through another node; `None` if that isn't required or not possible, and
+    /// no leaf was given the request.
+    pub(super) async fn relay(&self) -> Option<Response<Full<Bytes>>> {
+        let lost = lost_services(&self.hub.tables(), self.route, self.service);
+        if lost.is_empty() {
+            return None;
+        }
+        let mut tried = Vec::new();
+        while tried.len() < MAX_NODES {
+            let query = self.query()?;
+            let node = self.hub.choose_relay(&lost, &tried)?;
+            tried.push(node.name.clone());
+            if let Some(response) = self.ask(&node, &query).await {
+                return Some(response);
+            }
+        }
+        None
+    }
+
+    /// Returns the request as another node gets it; `None` if no time is left for that.
+    fn query(&self) -> Option<Query> {
+        let Inbound { hub, outbound, service, arrived, .. } = self;
+        let (now, timing) = (hub.now(), outbound.timing);
+        let left = timing.deadline.since(now).checked_sub(RETURN_MARGIN)?;
+        Some(Query {
+            node: hub.own.name.clone(),
+            version: hub.relayed_version(),
+            service: service.cloned(),
+            host: outbound.host.clone(),
+            method: outbound.method.to_string(),
+            target: outbound.target.to_string(),
+            headers: encode_headers(&outbound.headers),
+            body: outbound.body.clone(),
+            left,
+            spent: timing.spent + now.since(*arrived),
+            round_trip: timing.round_trip,
+            connection: outbound.connection,
+        })
+    }
+
+    /// Asks one node to serve the request; `None` if it has given it to no leaf.
+    async fn ask(&self, node: &Node, query: &Query) -> Option<Response<Full<Bytes>>> {
+        let hub = self.hub;
+        let sent = hub.now();
+        let mut guard = Guard::open(hub, node);
+        let deadline = hub.instant(self.outbound.timing.deadline);
+        let reply = hub.relays.ask(node.peers, query, deadline).await;
+        let (ending, outcome, response) = match reply {
+            Ok(Reply::Answer(answer)) => {
+                hub.record_relayed_version(answer.version);
+                (Ending::Answered, "answered", Some(decode(answer)))
+            }
+            Ok(Reply::Refused(refusal)) => (Ending::Declined, refusal.name(), None),
+            Err(Failure::NotRun(reason)) => {
+                log::debug!("node {} can't serve a request: {reason}", node.name);
+                (Ending::Failed, "not_sent", None)
+            }
+            Err(Failure::Unknown(reason)) => {
+                log::debug!("the answer of node {} is lost: {reason}", node.name);
+                (Ending::Failed, "unknown", Some(self.failure()))
+            }
+        };
+        guard.end(ending);
+        histogram!("jacinthfall_relay_seconds", "outcome" => outcome).record(hub.now().since(sent));
+        hub.audit.record_relayed(
+            hub.now(),
+            &Relayed {
+                id: &self.outbound.id,
+                fingerprint: self.outbound.fingerprint,
+                route: &self.route.name,
+                node: &node.name,
+                outcome,
+                status: response.as_ref().map_or(0, |response| response.status().as_u16()),
+                took: hub.now().since(self.arrived),
+                version: query.version,
+            },
+        );
+        response
+    }
+
+    /// Returns the answer to a request that may have run at another node.
+    fn failure(&self) -> Response<Full<Bytes>> {
+        let is_late = self.hub.now() >= self.outbound.timing.deadline;
+        let status = if is_late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
+        text(status, "the answer of another node was lost\n")
+    }
+}
+
+/// Records the end of a request to another node when it is dropped, even if the caller has left.
+struct Guard<'a> {
+    hub: &'a Hub,
+    node: &'a Node,
+    ending: Ending,
+}
+
+impl<'a> Guard<'a> {
+    fn open(hub: &'a Hub, node: &'a Node) -> Guard<'a> {
+        hub.tables().relays.record_send(node);
+        Guard { hub, node, ending: Ending::Cancelled }
+    }
+
+    fn end(&mut self, ending: Ending) {
+        self.ending = ending;
+    }
+}
+
+impl Drop for Guard<'_> {
+    fn drop(&mut self) {
+        let Guard { hub, node, ending } = self;
+        if *ending == Ending::Failed {
+            hub.relays.close(node.peers);
+        }
+        let pause = hub.tables().relays.record_end(hub.now(), &node.name, *ending);
+        if let Some(pause) = pause {
+            log::info!("event=relay_paused node={} for_ms={}", node.name, pause.as_millis());
+        }
+    }
+}
+
+/// Returns the services of a request of which this node reaches no leaf.
+fn lost_services(tables: &Tables, route: &Route, service: Option<&id::Name>) -> Vec<Service> {
+    let lost = |service: &&id::Name| tables.fleet.is_lost(service);
+    let lost: Vec<&id::Name> = match (&route.target, service) {
+        (Target::Gather(gather), _) => gather.shards.iter().filter(lost).collect(),
+        (_, Some(service)) => [service].into_iter().filter(lost).collect(),
+        (Target::Service(service), None) => [service].into_iter().filter(lost).collect(),
+        (Target::Split(shares), None) => {
+            shares.iter().map(|share| &share.service).take(1).filter(lost).collect()
+        }
+    };
+    lost.into_iter().map(|service| Service::of(service)).collect()
+}
+
+fn decode(answer: Answer) -> Response<Full<Bytes>> {
+    let decoded = StatusCode::from_u16(answer.status).ok().zip(decode_headers(&answer.headers));
+    let Some((status, headers)) = decoded else {
+        return text(StatusCode::BAD_GATEWAY, "the answer of another node can't be read\n");
+    };
+    let mut response = Response::new(Full::new(answer.body));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// Counts a request of another node as being served until it is dropped.
+struct Served<'a>(&'a AtomicUsize);
+
+impl<'a> Served<'a> {
+    /// Returns `None` if this node serves [`MAX_SERVED`] already.
+    fn open(count: &'a AtomicUsize) -> Option<Served<'a>> {
+        let served = Served(count);
+        (count.fetch_add(1, Ordering::Relaxed) < MAX_SERVED).then_some(served)
+    }
+}
+
+impl Drop for Served<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Serves a request of a caller on behalf of another node. It goes to leafs of this node or
+/// nowhere.
+pub async fn serve_relayed(hub: &Arc<Hub>, query: Query) -> Reply {
+    let _in_flight = InFlight::open(hub);
+    let Some(_served) = Served::open(&hub.served_for_others) else {
+        return refuse(Refusal::Busy);
+    };
+    let Some(snapshot) = hub.snapshot().filter(|known| known.version >= query.version) else {
+        return refuse(Refusal::Behind);
+    };
+    let now = hub.now();
+    let Some(outbound) = decode_outbound(hub, &query, now) else {
+        return refuse(Refusal::Malformed);
+    };
+    let path = outbound.target.path();
+    let Some(route) = snapshot.route(&query.host, path).map(Arc::clone) else {
+        return answer(snapshot.version, Rejection::NotFound.response()).await;
+    };
+    let service = service(hub, &route, query.service);
+    if !lost_services(&hub.tables(), &route, service.as_ref()).is_empty() {
+        return refuse(Refusal::Lost);
+    }
+    let quarantine = hub.tables().quarantine.admit(now, outbound.fingerprint);
+    if let Some(left) = quarantine {
+        return answer(snapshot.version, Rejection::Quarantined(left).response()).await;
+    }
+    counter!("jacinthfall_served_for_others_total").increment(1);
+    let flight = Flight::open(Arc::clone(&route), service, now, outbound.timing);
+    let mut driver = Driver::open(hub, &route, snapshot.version, flight, outbound);
+    driver.set_origin(query.node);
+    let found = driver.run().await;
+    driver.record(Some(&found));
+    answer(snapshot.version, respond(found)).await
+}
+
+fn refuse(refusal: Refusal) -> Reply {
+    counter!("jacinthfall_refused_to_others_total", "reason" => refusal.name()).increment(1);
+    Reply::Refused(refusal)
+}
+
+async fn answer(version: u64, response: Response<Full<Bytes>>) -> Reply {
+    let (head, body) = response.into_parts();
+    // A body in memory can't fail.
+    let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+    let (status, headers) = (head.status.as_u16(), encode_headers(&head.headers));
+    Reply::Answer(Answer { version, status, headers, body })
+}
+
+/// Returns the service that the node that asks has chosen if the route still has it, else one of
+/// the route's.
+fn service(hub: &Hub, route: &Route, chosen: Option<id::Name>) -> Option<id::Name> {
+    let Target::Split(shares) = &route.target else { return None };
+    let is_shared = |service: &id::Name| shares.iter().any(|share| share.service == *service);
+    let chosen = chosen.filter(is_shared);
+    chosen.or_else(|| hub.tables().statistics(route).selector.next(shares))
+}
+
+/// Decodes a request; `None` if it is malformed.
+fn decode_outbound(hub: &Hub, query: &Query, now: Time) -> Option<Outbound> {
+    let method: Method = query.method.parse().ok()?;
+    let target: Uri = query.target.parse().ok()?;
+    let headers = decode_headers(&query.headers)?;
+    let id = headers.get(header::REQUEST_ID)?.clone();
+    let fingerprint = fingerprint(&method, &target, &headers, &query.body);
+    let route = hub.snapshot()?.route(&query.host, target.path()).map(Arc::clone);
+    let usual = route.map(|route| hub.tables().context(&route).latency.quantile(0.5));
+    let lag = hub.tables().lag();
+    Some(Outbound {
+        method,
+        target,
+        host: query.host.clone(),
+        headers,
+        id,
+        body: query.body.clone(),
+        timing: Timing {
+            deadline: now + query.left,
+            spent: query.spent,
+            round_trip: query.round_trip,
+            lag,
+        },
+        connection: query.connection,
+        usual: usual.unwrap_or_default(),
+        fingerprint,
+    })
+}
--- a/src/gateway/callers/request.rs
+++ b/src/gateway/callers/request.rs
@@ -232,12 +232,15 @@
         }
         Ok(Err(_)) | Err(_) => return Err(Rejection::Incomplete),
     };
+    let named = head.uri.authority().map(Authority::as_str);
+    let host = named.or_else(|| headers.get(HOST)?.to_str().ok()).unwrap_or_default().to_owned();
     let target = head.uri.path_and_query().map(|target| Uri::from(target.clone()));
     let fingerprint = fingerprint(&head.method, &head.uri, &headers, &body);
     let usual = hub.tables().context(route).latency.quantile(0.5);
     Ok(Outbound {
         method: head.method,
         target: target.unwrap_or_default(),
+        host,
         headers,
         id,
         body,
@@ -249,7 +252,12 @@
 }
 
 /// Returns what identifies a request when its caller sends it again, at any node.
-fn fingerprint(method: &Method, target: &Uri, headers: &HeaderMap, body: &[u8]) -> Fingerprint {
+pub(super) fn fingerprint(
+    method: &Method,
+    target: &Uri,
+    headers: &HeaderMap,
+    body: &[u8],
+) -> Fingerprint {
     let header = |name: HeaderName| headers.get(name).map_or(&b""[..], HeaderValue::as_bytes);
     let target = target.path_and_query().map_or("", |target| target.as_str());
     Fingerprint::of(&[
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
@@ -23,7 +23,8 @@
 use jacinthfall_dispatch::fleet::{Fleet, Key};
 use jacinthfall_dispatch::gossip;
 use jacinthfall_dispatch::latency::Latency;
-use jacinthfall_dispatch::quarantine::{self, Fingerprint};
+use jacinthfall_dispatch::quarantine::{self, Fingerprint, Service};
+use jacinthfall_dispatch::relay;
 use jacinthfall_dispatch::roster::{Demand, Node, Phase, Roster};
 use jacinthfall_dispatch::round_trip;
 use jacinthfall_dispatch::transfer::{Rank, Slots};
@@ -31,12 +32,16 @@
 use jacinthfall_route::snapshot::Snapshot;
 use metrics::counter;
 use metrics_exporter_prometheus::PrometheusHandle;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use tokio::sync::Notify;
 
 use super::audit::Audit;
 use super::connection::{Received, Sender};
 use super::document::Document;
+use super::peers::relay::Links;
 use super::pool::{self, DEFAULT_IDLE_TIMEOUT, Pool};
+use super::probes;
 use super::settings::Settings;
 use super::tables::{INITIAL_LAG, MAINTENANCE_INTERVAL, Meter, Shared, Tables};
 
@@ -73,6 +78,13 @@
     pub own: Node,
     /// Connections to leafs.
     pub pool: Pool,
+    /// Connections to nodes that serve requests on behalf of this one.
+    pub relays: Links,
+    /// Latest version of the configuration under which a node served a request on behalf of this
+    /// one.
+    latest_relayed: AtomicU64,
+    /// Number of requests that this node serves on behalf of others.
+    pub served_for_others: AtomicUsize,
     /// Size of the responses of leafs that are being received.
     pub received: Received,
     /// Renders the metrics.
@@ -130,6 +142,8 @@
             gossip: gossip::Table::default(),
             gossip_received: false,
             quarantine: quarantine::Table::open(hash::unit_interval(seed)),
+            relays: relay::Selector::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
             round_trips: round_trip::Estimator::default(),
             lag: Latency::open(INITIAL_LAG),
             roster: Roster::default(),
@@ -143,6 +157,9 @@
             settings,
             own,
             pool: Pool::default(),
+            relays: Links::default(),
+            latest_relayed: AtomicU64::new(0),
+            served_for_others: AtomicUsize::new(0),
             received: Received::default(),
             metrics,
             audit: Audit::default(),
@@ -326,14 +343,53 @@
         self.pool.put_idle(key, sender, now, idle);
     }
 
+    /// Returns a node that can serve a request that needs services which this node has lost, except
+    /// for those that were tried.
+    pub fn choose_relay(&self, lost: &[Service], tried: &[id::Name]) -> Option<Node> {
+        let now = self.now();
+        let mut tables = self.tables();
+        let Tables { relays, roster, rng, .. } = &mut *tables;
+        relays.choose(now, roster, &self.own, lost, tried, rng)
+    }
+
+    /// Returns the version that another node must have in force, or a later one, to serve a request
+    /// on behalf of this one: no request is served by an older version than an earlier one was.
+    #[must_use]
+    pub fn relayed_version(&self) -> u64 {
+        self.tables().version().max(self.latest_relayed.load(Ordering::Relaxed))
+    }
+
+    /// Records the version under which another node has served a request.
+    pub fn record_relayed_version(&self, version: u64) {
+        self.latest_relayed.fetch_max(version, Ordering::Relaxed);
+    }
+
     /// Updates which leafs and services this node reaches, and tells the others if that has changed.
     fn update_reach(&self, now: Time) {
         if self.tables().fleet.update_reach(now) {
-            self.audit.log_reach(now, &self.tables);
-            self.heartbeat_due.notify_one();
+            self.announce_reach(now);
         }
     }
 
+    /// Records that a lost leaf has responded.
+    pub fn record_heard(&self, leaf: Key) {
+        let now = self.now();
+        let has_changed = {
+            let fleet = &mut self.tables().fleet;
+            let before = fleet.loss();
+            fleet.record_heard(now, leaf);
+            fleet.loss() != before
+        };
+        if has_changed {
+            self.announce_reach(now);
+        }
+    }
+
+    fn announce_reach(&self, now: Time) {
+        self.audit.log_reach(now, &self.tables);
+        self.heartbeat_due.notify_one();
+    }
+
     /// Closes the idle connections to a leaf.
     pub fn close_idle(&self, key: Key) {
         self.tables().fleet.record_closed(key);
@@ -430,6 +486,10 @@
             let max_share = if settled { 1.0 } else { 1.0 / nodes as f64 };
             tables.update_share(now, &hub.own, max_share);
             tables.quarantine.expire(now);
+            let is_known = |address: &SocketAddr| {
+                tables.roster.members().any(|member| member.node.peers == *address)
+            };
+            hub.relays.retain(is_known);
             (node_changes, tables.catalog.expire(now))
         };
         for (name, change) in node_changes {
@@ -442,6 +502,7 @@
         if now.since(last_tick) < MAX_TICK_GAP {
             hub.update_reach(now);
         }
+        probes::spawn(&hub);
         last_tick = now;
         if hub.tables().phase == Phase::Starting {
             hub.serve_if_ready();
--- a/src/gateway/leafs.rs
+++ b/src/gateway/leafs.rs
@@ -50,6 +50,8 @@
     pub method: Method,
     /// Path and query string, as the caller sent them.
     pub target: Uri,
+    /// Host that selects the route.
+    pub host: String,
     /// End-to-end headers.
     pub headers: HeaderMap,
     /// Request id from the caller; leafs echo it.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -51,6 +51,23 @@
     );
     describe_gauge!("jacinthfall_configuration_version", "Version of the configuration in force");
     describe_gauge!("jacinthfall_leafs_usable", "Leafs that may be given requests");
+    describe_counter!(
+        "jacinthfall_relayed_requests_total",
+        "Requests that another node was asked to serve, by outcome"
+    );
+    describe_histogram!(
+        "jacinthfall_relay_seconds",
+        "Time until another node's answer to such a request, by outcome"
+    );
+    describe_counter!(
+        "jacinthfall_served_for_others_total",
+        "Requests that this node has served on behalf of others"
+    );
+    describe_counter!(
+        "jacinthfall_refused_to_others_total",
+        "Requests of other nodes that this node turned away, by reason"
+    );
+    describe_counter!("jacinthfall_probes_total", "Health checks of lost leafs, by outcome");
     describe_gauge!("jacinthfall_leafs_silent", "Leafs that gave this node no response lately");
     describe_gauge!("jacinthfall_services_lost", "Services of which this node reaches no leaf");
     describe_gauge!("jacinthfall_cut_off", "Whether this node reaches no leaf at all");
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! [`callers`] serves the requests of callers and [`leafs`] sends them to leafs
 //! over the [`connection`]s of [`pool`]; [`crashes`] finds out which of them have crashed, and [`notices`] records what
-//! they say of themselves. [`store`]
+//! they say of themselves; [`probes`] find out when lost ones can be reached again. [`store`]
 //! follows the platform's store, and [`peers`] exchanges data with the other nodes,
 //! the configuration as a compressed [`document`].
 //! [`addresses`] serves the address lookup, readiness and metrics; [`audit`] writes the log
@@ -26,6 +26,7 @@
 pub mod notices;
 pub mod peers;
 pub mod pool;
+pub mod probes;
 pub mod settings;
 pub mod stop;
 pub mod store;
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -3,11 +3,13 @@
 //! A heartbeat (`heartbeats`) states how far its sender knows the changes in the store, and
 //! which configuration it has in force. A node that is behind asks the sender for the changes that
 //! it lacks, in an exchange (`exchange`). A configuration may be large, so it is transferred
-//! separately (`configuration`) and never delays changes of leafs.
+//! separately (`configuration`) and never delays changes of leafs. A node that has lost its links
+//! to leafs has requests of its callers served by others ([`relay`]).
 
 mod configuration;
 mod exchange;
 mod heartbeats;
+pub mod relay;
 
 use std::io;
 use std::net::SocketAddr;
@@ -105,6 +107,7 @@
         let response = match request.path.as_str() {
             exchange::PATH => respond(&request, |query| exchange::collect_updates(hub, &query)),
             configuration::PATH => respond(&request, |query| configuration::reply(hub, &query)),
+            relay::PATH => relay::respond(hub, &request).await,
             _ => Response::new(StatusCode::NOT_FOUND, "there is nothing at this path"),
         };
         Some(response)
--- /dev/null
+++ b/src/gateway/probes.rs
@@ -0,0 +1,75 @@
+//! Finds out when leafs that this node has lost can be reached again.
+//!
+//! Requests that need lost services go through other nodes, so they don't show it. Instead, this
+//! node asks a few lost leafs for their health at each maintenance tick. Any response will do, since
+//! a connection alone may be accepted on behalf of a leaf that gets nothing.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::header::HOST;
+use http::{HeaderValue, Request, Uri};
+use http_body_util::Full;
+use jacinthfall_dispatch::fleet::Key;
+use metrics::counter;
+use tokio::time::timeout;
+
+use super::hub::Hub;
+use super::pool::{self, DEFAULT_IDLE_TIMEOUT};
+
+/// Maximum time for a response to a health check.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A health check of a lost leaf.
+struct Probe {
+    leaf: Key,
+    address: SocketAddr,
+    path: Uri,
+}
+
+/// Starts health checks of some leafs of the services that this node has lost.
+pub fn spawn(hub: &Arc<Hub>) {
+    for probe in choose(hub) {
+        tokio::spawn(run(Arc::clone(hub), probe));
+    }
+}
+
+fn choose(hub: &Hub) -> Vec<Probe> {
+    let Some(snapshot) = hub.snapshot() else { return Vec::new() };
+    let mut tables = hub.tables();
+    let leafs = tables.fleet.choose_lost_leafs();
+    let probe = |leaf: Key| {
+        let entry = &tables.fleet.leaf(leaf)?.entry;
+        let service = snapshot.services.get(&entry.service)?;
+        let path = service.health_path.parse().ok()?;
+        Some(Probe { leaf, address: entry.address, path })
+    };
+    leafs.into_iter().filter_map(probe).collect()
+}
+
+async fn run(hub: Arc<Hub>, probe: Probe) {
+    let started = hub.now();
+    let responded = check(&hub, &probe).await.is_some();
+    let outcome = if responded { "response" } else { "silence" };
+    counter!("jacinthfall_probes_total", "outcome" => outcome).increment(1);
+    if responded {
+        hub.record_heard(probe.leaf);
+    } else {
+        hub.tables().fleet.record_missed(probe.leaf, started);
+    }
+}
+
+/// Asks a leaf for its health on a new connection; `None` if there is no response.
+async fn check(hub: &Hub, probe: &Probe) -> Option<()> {
+    let permit = hub.pool.reserve(probe.leaf, usize::MAX)?;
+    let mut sender = pool::dial(probe.address, permit).await.ok()?;
+    let mut request = Request::new(Full::default());
+    *request.uri_mut() = probe.path.clone();
+    let host = HeaderValue::from_str(&probe.address.to_string()).ok()?;
+    request.headers_mut().insert(HOST, host);
+    let exchange = sender.exchange(request, &hub.received);
+    timeout(RESPONSE_TIMEOUT, exchange).await.ok()?.ok()?;
+    hub.release(probe.leaf, sender, hub.now(), DEFAULT_IDLE_TIMEOUT);
+    Some(())
+}
--- a/src/gateway/tables.rs
+++ b/src/gateway/tables.rs
@@ -17,11 +17,13 @@
 use jacinthfall_dispatch::gossip;
 use jacinthfall_dispatch::latency::Latency;
 use jacinthfall_dispatch::quarantine;
+use jacinthfall_dispatch::relay;
 use jacinthfall_dispatch::roster::{Demand, Node, Phase, Roster};
 use jacinthfall_dispatch::round_trip;
 use jacinthfall_dispatch::split::Selector;
 use jacinthfall_dispatch::transfer::{Edition, Slots};
 use jacinthfall_route::snapshot::{Route, Snapshot};
+use rand_chacha::ChaCha8Rng;
 
 use super::callers::Caller;
 use super::document::Document;
@@ -149,6 +151,10 @@
     pub gossip_received: bool,
     /// Requests that were present at crashes of leafs.
     pub quarantine: quarantine::Table,
+    /// Nodes that serve requests on behalf of this one.
+    pub relays: relay::Selector,
+    /// Random numbers for the choice among nodes and leafs.
+    pub rng: ChaCha8Rng,
     /// Round trips to callers.
     pub round_trips: round_trip::Estimator,
     /// Time by which timers of requests were handled late.
@@ -225,10 +231,16 @@
             deadline: now + stated.unwrap_or(route.timeout).min(route.timeout),
             spent: spent.unwrap_or_default(),
             round_trip: self.round_trips.round_trip(caller.address),
-            lag: self.lag.quantile(LAG_QUANTILE),
+            lag: self.lag(),
         }
     }
 
+    /// Returns the time by which this node may act later than it wants to.
+    #[must_use]
+    pub fn lag(&self) -> Duration {
+        self.lag.quantile(LAG_QUANTILE)
+    }
+
     fn time_spent(
         &mut self,
         now: Time,
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -1,13 +1,14 @@
 //! Nodes that lose their links to leafs while callers, the store and the other nodes reach them.
 
-use std::net::SocketAddr;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use jacinthfall_testkit::gateway::leaf::Leaf;
+use jacinthfall_testkit::gateway::leaf::{Behaviour, Leaf};
 use jacinthfall_testkit::gateway::proxy::{Fault, Proxy};
 use jacinthfall_testkit::gateway::site::{
-    Request, Site, gather, metric, route, serving_leaf, wait_for,
+    Request, Response, Site, exchange, gather, metric, route, serving_leaf, wait_for,
 };
 use serde_json::Value;
 
@@ -64,9 +65,19 @@
         self.proxies.iter().for_each(|proxy| proxy.set_fault(fault));
     }
 
-    /// Returns the number of requests that the leafs have run.
-    fn runs(&self) -> usize {
-        self.leafs.iter().map(|leaf| leaf.runs().len()).sum()
+    /// Returns how often the leafs have run the request with an id.
+    fn runs(&self, id: &str) -> usize {
+        let runs = self.leafs.iter().flat_map(|leaf| leaf.runs());
+        runs.filter(|run| run.header("x-request-id").as_deref() == Some(id)).count()
+    }
+
+    /// Cuts the first node off and waits until it knows.
+    fn cut_off(&self) {
+        self.set_fault(Fault::Blackhole);
+        wait_for("the first node to know that it is cut off", || {
+            self.shares_served("/g/1", Duration::from_millis(100));
+            metric(&self.site.nodes[0], "jacinthfall_cut_off") == Some(1.0)
+        });
     }
 
     /// Sends requests to each node for a time, and returns the share that each of them served.
@@ -128,3 +139,106 @@
     cut.assert_served_alike("/g/1", "queries over shards");
     cut.assert_served_alike("/a/1", "requests to one leaf");
 }
+
+#[test]
+fn a_request_through_another_node_keeps_its_id_deadline_headers_and_body() {
+    let cut = Cut::open(&queries(), &SERVICES, 1);
+    cut.cut_off();
+
+    let request = Request {
+        method: "POST",
+        target: "/a/2?x=1",
+        id: "r-once",
+        deadline_ms: 2_000,
+        headers: "X-Own: kept\r\nAuthorization: token\r\n",
+        body: "the body",
+    };
+    let response = cut.site.ask(0, &request);
+
+    assert_eq!((response.status, &response.body[..]), (200, &b"ok"[..]));
+    assert!(response.header("x-response-stamp").is_some_and(|stamp| stamp.ends_with(".r-once")));
+    let runs: Vec<_> = cut.leafs.iter().flat_map(|leaf| leaf.runs()).collect();
+    let run = runs.iter().find(|run| run.header("x-request-id").as_deref() == Some("r-once"));
+    let run = run.expect("the leaf's run");
+    assert_eq!((run.target(), &run.body[..]), ("/a/2?x=1", &b"the body"[..]));
+    assert_eq!(run.header("x-own").as_deref(), Some("kept"));
+    assert_eq!(run.header("authorization").as_deref(), Some("token"));
+    let deadline: u64 = run.header("x-deadline-ms").expect("a deadline").parse().expect("a number");
+    assert!((1_000..2_000).contains(&deadline), "{deadline}");
+}
+
+#[test]
+fn a_request_that_must_not_repeat_runs_once_when_the_other_node_dies_under_it() {
+    let mut cut = Cut::open(&[gather(0.6), route("unsafe")], &SERVICES, 1);
+    cut.cut_off();
+    for leaf in &cut.leafs {
+        leaf.set_behaviour(Behaviour::Silent);
+    }
+    let callers = cut.site.nodes[0].callers;
+    let request = Request { id: "r-once", deadline_ms: 3_000, ..Request::default() };
+    let pending = thread::spawn(move || exchange(callers, request.text().as_bytes()));
+    wait_for("a leaf to run the request", || cut.runs("r-once") == 1);
+
+    cut.site.nodes[1].process.kill();
+
+    let answer = Response::parse(&pending.join().expect("a caller"));
+    assert_eq!(answer.status, 502, "it has run, so it must not be called refused");
+    assert_eq!(cut.runs("r-once"), 1);
+}
+
+#[test]
+fn a_caller_that_leaves_cancels_its_request_at_the_other_node() {
+    let cut = Cut::open(&queries(), &SERVICES, 1);
+    cut.cut_off();
+    for leaf in &cut.leafs {
+        leaf.set_behaviour(Behaviour::Silent);
+    }
+    let closed = |cut: &Cut| cut.leafs.iter().map(Leaf::closed_connections).sum::<usize>();
+    let before = closed(&cut);
+    let request = Request { id: "r-left", ..Request::default() };
+    let mut stream = TcpStream::connect(cut.site.nodes[0].callers).expect("the node listens");
+    stream.write_all(request.text().as_bytes()).expect("the node reads");
+    wait_for("a leaf to run the request", || cut.runs("r-left") == 1);
+
+    drop(stream);
+
+    wait_for("the leaf's connection to be closed", || closed(&cut) > before);
+}
+
+#[test]
+fn nodes_that_are_all_cut_off_refuse_at_once_and_pass_nothing_on() {
+    let cut = Cut::open(&queries(), &SERVICES, 1);
+    cut.cut_off();
+    for leaf in &cut.leafs {
+        leaf.crash(Duration::from_secs(60));
+    }
+    wait_for("the other node to know it too", || {
+        cut.shares_served("/g/1", Duration::from_millis(100));
+        metric(&cut.site.nodes[1], "jacinthfall_cut_off") == Some(1.0)
+    });
+
+    let started = Instant::now();
+    let response = cut.site.ask(0, &Request { id: "r-none", ..Request::default() });
+
+    assert_eq!(response.status, 503);
+    assert!(response.header("retry-after").is_some());
+    assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
+}
+
+#[test]
+fn a_node_serves_its_callers_by_itself_once_it_reaches_leafs_again() {
+    let cut = Cut::open(&queries(), &SERVICES, 1);
+    cut.cut_off();
+
+    cut.set_fault(Fault::None);
+
+    let started = Instant::now();
+    wait_for("the end of the cut to be noticed", || {
+        metric(&cut.site.nodes[0], "jacinthfall_cut_off") == Some(0.0)
+    });
+    assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
+    let before = metric(&cut.site.nodes[1], "jacinthfall_served_for_others_total");
+    assert_eq!(cut.shares_served("/a/1", Duration::from_secs(1)), [1.0, 1.0]);
+    let after = metric(&cut.site.nodes[1], "jacinthfall_served_for_others_total");
+    assert_eq!(before, after, "its requests no longer go through the other node");
+}
