Refuse a request whose open sends have written nothing instead of failing it

Cause: when a request could no longer be answered, every send in flight counted as work that may have run, also one whose connection was still being established.

A send now says when it begins to write (Flight::record_written). If none in flight has, the request is refused, which is true since these sends are cancelled with it: all tasks of a node run on one thread, so none can begin to write after the decision. The request may then still be served through another node.

Test: a_request_whose_open_sends_are_not_written_yet_is_refused_and_not_failed, which got 502 before; its counterpart for a written send holds before and after.

--- a/crates/dispatch/src/flight.rs
+++ b/crates/dispatch/src/flight.rs
@@ -169,6 +169,12 @@
         self.admit(now, context)
     }
 
+    /// Records that a send of a part has begun to write to its connection, so that the leaf may
+    /// get the request. It must be called before the next decision.
+    pub fn record_written(&mut self, part: usize, leaf: Key) {
+        self.parts[part].record_written(leaf);
+    }
+
     /// Handles the end of a send of a part.
     pub fn send_ended(
         &mut self,
--- a/crates/dispatch/src/flight/ending.rs
+++ b/crates/dispatch/src/flight/ending.rs
@@ -57,7 +57,7 @@
     }
 
     fn failure(&mut self, now: Time, context: &Context<'_>) -> Answer {
-        if !self.parts.iter().any(|part| part.may_have_run || part.has_open_send()) {
+        if !self.parts.iter().any(|part| part.may_have_run || part.has_written_send()) {
             let given_up = self.parts.iter().filter(|part| part.is_given_up());
             let available =
                 given_up.filter_map(|part| context.fleet.available_at(now, &part.service)).max();
--- a/crates/dispatch/src/flight/message.rs
+++ b/crates/dispatch/src/flight/message.rs
@@ -64,7 +64,8 @@
         /// Merged records.
         body: Bytes,
     },
-    /// The request hasn't run and won't run.
+    /// The request hasn't run and won't run. Sends that are still in flight must be cancelled; none
+    /// of them has written anything.
     Refused {
         /// Time after which the caller should retry.
         retry_after: Duration,
--- a/crates/dispatch/src/flight/part.rs
+++ b/crates/dispatch/src/flight/part.rs
@@ -132,6 +132,8 @@
     pub(super) reason: Reason,
     /// Assessment of the leaf when it was chosen.
     pub(super) assessment: Assessment,
+    /// Whether anything of it may have been written to the connection.
+    pub(super) is_written: bool,
     /// When and how it ended; `None` while it is in flight.
     pub(super) completion: Option<(Time, Completion)>,
 }
@@ -205,6 +207,19 @@
         self.sends.iter().any(Send::is_open)
     }
 
+    /// Whether it has a send in flight that the leaf may get.
+    pub(super) fn has_written_send(&self) -> bool {
+        self.sends.iter().any(|send| send.is_open() && send.is_written)
+    }
+
+    /// Records that the open send to a leaf has begun to write to its connection.
+    pub(super) fn record_written(&mut self, leaf: Key) {
+        let sends = self.sends.iter_mut();
+        if let Some(send) = sends.filter(|send| send.is_open()).find(|send| send.leaf == leaf) {
+            send.is_written = true;
+        }
+    }
+
     /// Returns the number of leafs that the part reached or may have reached.
     pub(super) fn leaf_count(&self) -> usize {
         let arrived = self.sends.iter().filter(|send| send.may_have_arrived());
--- a/crates/dispatch/src/flight/resend.rs
+++ b/crates/dispatch/src/flight/resend.rs
@@ -76,7 +76,8 @@
         let expected = assessment.expected.mul_f64(MIN_HEDGE_EXPECTED_FACTOR);
         let hedge_delay = self.hedge_delay(now, context.latency).max(expected);
         let state = &mut self.parts[part];
-        state.sends.push(Send { leaf, at: now, reason, assessment, completion: None });
+        let is_written = false;
+        state.sends.push(Send { leaf, at: now, reason, assessment, is_written, completion: None });
         state.late_at = (state.sends.len() == 1).then(|| now + hedge_delay);
         Action::Send { part, leaf }
     }
--- a/crates/dispatch/tests/suite/flight.rs
+++ b/crates/dispatch/tests/suite/flight.rs
@@ -156,6 +156,41 @@
     assert!(matches!(answer(actions), Some(Answer::Refused { .. })));
 }
 
+/// Ends a query over three shards, two of which no leaf can be reached of, while the part of the
+/// third is still open.
+fn end_with_an_open_send(is_written: bool) -> Option<Answer> {
+    let names = shards(3);
+    let mut bench = Bench::open(gather(names.clone(), 1.0), &names, 1);
+    let sent = sends(&bench.decide(|flight, context| flight.start(Time(0), context)));
+    let (part, leaf) = sent[2];
+    if is_written {
+        bench.flight.record_written(part, leaf);
+    }
+    for (part, leaf) in &sent[..2] {
+        bench.fleet.record_send(Time(0), *leaf, USUAL);
+        bench.fleet.record_end(Time(9), *leaf, Time(0), Ending::Unreachable);
+        let unsent = Outcome::Unsent;
+        let actions =
+            bench.decide(|f, context| f.send_ended(Time(9), *part, *leaf, unsent, context));
+        if let Some(answer) = answer(actions) {
+            return Some(answer);
+        }
+    }
+    None
+}
+
+#[test]
+fn a_request_whose_open_sends_are_not_written_yet_is_refused_and_not_failed() {
+    assert!(matches!(end_with_an_open_send(false), Some(Answer::Refused { .. })));
+}
+
+#[test]
+fn a_request_with_an_open_send_that_is_written_fails_and_is_not_refused() {
+    let answer = end_with_an_open_send(true);
+
+    assert!(matches!(answer, Some(Answer::Failed(StatusCode::BAD_GATEWAY))), "{answer:?}");
+}
+
 #[test]
 fn a_request_is_not_refused_if_an_earlier_send_may_have_run() {
     let mut bench = Bench::open(Arc::new(single("a", true)), &services(), 2);
--- a/crates/dispatch/tests/suite/relay.rs
+++ b/crates/dispatch/tests/suite/relay.rs
@@ -8,7 +8,7 @@
 use jacinthfall_dispatch::quarantine::Service;
 use jacinthfall_dispatch::reach::Loss;
 use jacinthfall_dispatch::relay::{Ending, Selector};
-use jacinthfall_dispatch::roster::{Demand, Heartbeat, Node, Own, Phase, Roster, SUSPECT_AFTER};
+use jacinthfall_dispatch::roster::{Demand, Heartbeat, Node, Phase, Roster, SUSPECT_AFTER};
 use jacinthfall_dispatch::transfer::Rank;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
--- a/src/gateway/callers/driver.rs
+++ b/src/gateway/callers/driver.rs
@@ -1,6 +1,7 @@
 //! Drives one request of a caller to its answer.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use jacinthfall_core::id;
@@ -23,18 +24,35 @@
     outcome: Outcome,
 }
 
-/// Tasks of the sends, which are aborted if the caller disconnects.
+/// A send that has been started.
+struct Started {
+    part: usize,
+    leaf: Key,
+    task: AbortHandle,
+    /// Set by the task before it writes anything.
+    written: Arc<AtomicBool>,
+}
+
+/// The sends of a request, which are aborted if the caller disconnects.
 #[derive(Default)]
 struct Sends {
-    handles: Vec<AbortHandle>,
+    started: Vec<Started>,
     /// Whether the tasks run on after this is dropped.
     keep_running: bool,
 }
 
+impl Sends {
+    /// Cancels the sends. All tasks run on one thread, so a send that hasn't written anything when
+    /// this is called won't.
+    fn abort(&self) {
+        self.started.iter().for_each(|send| send.task.abort());
+    }
+}
+
 impl Drop for Sends {
     fn drop(&mut self) {
         if !self.keep_running {
-            self.handles.iter().for_each(AbortHandle::abort);
+            self.abort();
         }
     }
 }
@@ -102,6 +120,9 @@
         let mut actions = self.decide(|flight, now, context| flight.start(now, context));
         loop {
             if let Some(answer) = self.execute(actions) {
+                if matches!(answer, Answer::Refused { .. }) {
+                    self.sends.abort();
+                }
                 // Sends that are still in flight run on: they measure the response times of leafs.
                 self.sends.keep_running = true;
                 return answer;
@@ -121,6 +142,11 @@
         decision: impl FnOnce(&mut Flight, Time, &mut Context<'_>) -> Vec<Action>,
     ) -> Vec<Action> {
         let now = self.hub.now();
+        for send in &self.sends.started {
+            if send.written.load(Ordering::Relaxed) {
+                self.flight.record_written(send.part, send.leaf);
+            }
+        }
         let mut tables = self.hub.tables();
         let is_quarantined = tables.quarantine.remaining(now, self.outbound.fingerprint).is_some();
         let mut context = tables.context(self.route);
@@ -163,15 +189,18 @@
         let outbound = Arc::clone(&self.outbound);
         let ended = self.ended.0.clone();
         let route = self.route.name.clone();
+        let written = Arc::new(AtomicBool::new(false));
+        let flag = Arc::clone(&written);
         let task = tokio::spawn(async move {
-            let outcome = leafs::send(&hub, leaf, &outbound, sent).await;
+            let outcome = leafs::send(&hub, leaf, &outbound, sent, &flag).await;
             if matches!(outcome, Outcome::Success(_)) {
                 record_response_time(&hub, &route, hub.now().since(sent));
             }
             // The receiver is gone once the caller has its answer.
             let _ = ended.send(Ended { part, leaf, outcome });
         });
-        self.sends.handles.push(task.abort_handle());
+        let task = task.abort_handle();
+        self.sends.started.push(Started { part, leaf, task, written });
     }
 
     /// Logs the answer; `None` if the caller disconnected before there was one.
--- a/src/gateway/leafs.rs
+++ b/src/gateway/leafs.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -130,8 +131,15 @@
     }
 }
 
-/// Sends a request to a leaf that was chosen at `sent` and waits for its response.
-pub async fn send(hub: &Arc<Hub>, key: Key, outbound: &Outbound, sent: Time) -> Outcome {
+/// Sends a request to a leaf that was chosen at `sent` and waits for its response. Sets `written`
+/// before anything is written to the connection.
+pub async fn send(
+    hub: &Arc<Hub>,
+    key: Key,
+    outbound: &Outbound,
+    sent: Time,
+    written: &AtomicBool,
+) -> Outcome {
     let mut guard = Guard { hub, key, sent, ending: Ending::Cancelled };
     let Some((id, address, limit)) = ({
         let tables = hub.tables();
@@ -157,6 +165,7 @@
     let Some(request) = build_request(outbound, &id, now) else {
         return Outcome::Unsent;
     };
+    written.store(true, Ordering::Relaxed);
     let exchange = sender.exchange(request, &hub.received);
     match timeout_at(hub.instant(outbound.timing.deadline), exchange).await {
         Err(_) => {
