End idempotent requests to leafs that are lost before their deadline

Requests in flight when the links to leafs fell silent waited until their deadline, up to 6 s, though nothing could answer them any more and their callers would be served at once on a retry. A part whose sends are unanswered for the patience of its route is now given up if this node has lost the service (Obstacle::Lost). Requests that must not repeat wait on: their callers can't retry, and the link may heal.

Test: an_idempotent_request_to_leafs_that_are_lost_fails_long_before_its_deadline, which had no answer before the deadline on the code before.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -25,6 +25,7 @@
 pub use leaf::{Assessment, Change, Ending, Leaf, Report};
 pub use rate_limit::{Limiter, Need, Statement};
 pub use reach::Census;
+pub(crate) use reach::patience;
 pub use search::{Candidates, Demand, Placement};
 
 use leaf::InFlight;
--- a/crates/dispatch/src/fleet/reach.rs
+++ b/crates/dispatch/src/fleet/reach.rs
@@ -34,7 +34,7 @@
 const MAX_PROBES: usize = 3;
 
 /// Returns the time after which a send with a usual response time counts as unanswered.
-pub(super) fn patience(usual: Duration) -> Duration {
+pub(crate) fn patience(usual: Duration) -> Duration {
     MIN_PATIENCE + usual * PATIENCE_RESPONSES
 }
 
--- a/crates/dispatch/src/flight.rs
+++ b/crates/dispatch/src/flight.rs
@@ -133,7 +133,8 @@
             return at;
         }
         let pending = self.parts.iter().filter(|part| part.is_pending());
-        let times = pending.flat_map(|part| [part.late_at, part.search_at]).flatten();
+        let times =
+            pending.flat_map(|part| [part.late_at, part.search_at, part.unanswered_at]).flatten();
         let first = times.min().unwrap_or(self.deadline).min(self.deadline);
         if self.is_answerable_early() { first.min(self.answer_by) } else { first }
     }
@@ -216,6 +217,10 @@
             if state.is_pending() && state.late_at.is_some_and(|at| at <= now) {
                 self.hedge_late_part(now, part, context, &mut actions);
             }
+            let state = &self.parts[part];
+            if state.is_pending() && state.unanswered_at.is_some_and(|at| at <= now) {
+                self.check_loss(now, part, context);
+            }
         }
         self.finish_if_decided(now, context, &mut actions);
         actions
--- a/crates/dispatch/src/flight/part.rs
+++ b/crates/dispatch/src/flight/part.rs
@@ -51,6 +51,8 @@
     Quarantine,
     /// Most parts of the query are late, so this node is behind rather than the leaf.
     NodeBusy,
+    /// This node has lost its links to the leafs, and those that got the part don't answer.
+    Lost,
 }
 
 impl Obstacle {
@@ -61,9 +63,11 @@
             Obstacle::LeafsBusy | Obstacle::RateLimit | Obstacle::Budget | Obstacle::NodeBusy => {
                 true
             }
-            Obstacle::MayHaveRun | Obstacle::Attempts | Obstacle::NoLeaf | Obstacle::Quarantine => {
-                false
-            }
+            Obstacle::MayHaveRun
+            | Obstacle::Attempts
+            | Obstacle::NoLeaf
+            | Obstacle::Quarantine
+            | Obstacle::Lost => false,
         }
     }
 
@@ -79,6 +83,7 @@
             Obstacle::Budget => "budget",
             Obstacle::Quarantine => "quarantine",
             Obstacle::NodeBusy => "node_busy",
+            Obstacle::Lost => "lost",
         }
     }
 }
@@ -163,6 +168,8 @@
     pub(super) unsent: usize,
     /// When the part counts as late and is hedged.
     pub(super) late_at: Option<Time>,
+    /// When its latest send counts as unanswered, and it is checked whether the leafs are lost.
+    pub(super) unanswered_at: Option<Time>,
     /// When the search for a leaf is repeated, while none can take the part.
     pub(super) search_at: Option<Time>,
     /// Whether it is in the fleet's queue for its service.
@@ -185,6 +192,7 @@
             sends: Vec::new(),
             unsent: 0,
             late_at: None,
+            unanswered_at: None,
             search_at: None,
             queued: false,
             reply: None,
@@ -251,6 +259,7 @@
         match outcome {
             Outcome::Success(reply) => {
                 self.may_have_run = true;
+                self.given_up = None;
                 self.reply.get_or_insert(reply);
             }
             Outcome::Failure(reply) => {
--- a/crates/dispatch/src/flight/resend.rs
+++ b/crates/dispatch/src/flight/resend.rs
@@ -12,7 +12,7 @@
 use super::part::{Obstacle, Reason, Send};
 use super::placement::found_leaf;
 use super::{Context, Flight};
-use crate::fleet::Key;
+use crate::fleet::{self, Key};
 use crate::latency::Latency;
 
 /// Quantile of the route's response times from which the hedge delay is computed.
@@ -45,6 +45,9 @@
 /// is exhausted.
 const HEDGE_RETRY_INTERVAL: Duration = Duration::from_millis(8);
 
+/// Interval between two checks whether the leafs that got a part are lost.
+const LOSS_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Interval between two searches for a leaf for a part whose sends have all ended.
 const RESEND_INTERVAL: Duration = Duration::from_millis(6);
 
@@ -79,6 +82,8 @@
         let is_written = false;
         state.sends.push(Send { leaf, at: now, reason, assessment, is_written, completion: None });
         state.late_at = (state.sends.len() == 1).then(|| now + hedge_delay);
+        let usual = context.latency.quantile(0.5);
+        state.unanswered_at = self.route.idempotent.then(|| now + fleet::patience(usual));
         Action::Send { part, leaf }
     }
 
@@ -154,6 +159,16 @@
         ended as f64 <= MIN_HEDGE_PROGRESS * self.parts.len() as f64 && now.since(since) < patience
     }
 
+    /// Gives a part up if the leafs that got it don't answer and this node has lost its links to
+    /// them. Its caller may repeat the request and need not wait for the deadline.
+    pub(super) fn check_loss(&mut self, now: Time, part: usize, context: &Context<'_>) {
+        let state = &mut self.parts[part];
+        if state.has_open_send() && context.fleet.is_lost(&state.service) {
+            state.given_up = Some((now, Obstacle::Lost));
+        }
+        state.unanswered_at = Some(now + LOSS_CHECK_INTERVAL);
+    }
+
     /// Sends a part whose sends have all ended once more, lets it wait for a leaf, or gives it
     /// up. Leafs that reject requests at random, or are full for a moment, often take the part
     /// a little later, so a part that no leaf can take yet isn't given up before `place_by`.
--- a/crates/dispatch/tests/suite/flight.rs
+++ b/crates/dispatch/tests/suite/flight.rs
@@ -191,6 +191,39 @@
     assert!(matches!(answer, Some(Answer::Failed(StatusCode::BAD_GATEWAY))), "{answer:?}");
 }
 
+/// Sends a request to a service whose leafs then fall silent. Returns when it is answered, and how;
+/// `None` if it isn't before its deadline.
+fn send_into_silence(idempotent: bool) -> Option<(Time, Answer)> {
+    let mut bench = Bench::open(Arc::new(single("a", idempotent)), &services(), 2);
+    let mut actions = bench.decide(|flight, context| flight.start(Time(0), context));
+    let mut now = Time(0);
+    loop {
+        for (part, leaf) in sends(&actions) {
+            bench.fleet.record_send(now, leaf, USUAL);
+            bench.flight.record_written(part, leaf);
+        }
+        if let Some(answer) = answer(actions) {
+            return (now < Time::from_millis(1_500)).then_some((now, answer));
+        }
+        now = bench.flight.next_wake();
+        bench.fleet.update_reach(now);
+        actions = bench.decide(|flight, context| flight.wake(now, context));
+    }
+}
+
+#[test]
+fn an_idempotent_request_to_leafs_that_are_lost_fails_long_before_its_deadline() {
+    let (at, answer) = send_into_silence(true).expect("an answer before the deadline");
+
+    assert!(at < Time::from_millis(1_000), "{at:?}");
+    assert!(matches!(answer, Answer::Failed(StatusCode::BAD_GATEWAY)), "{answer:?}");
+}
+
+#[test]
+fn a_request_that_must_not_repeat_waits_for_the_answer_of_a_lost_leaf() {
+    assert!(send_into_silence(false).is_none(), "the link may heal, and its caller can't retry");
+}
+
 #[test]
 fn a_request_is_not_refused_if_an_earlier_send_may_have_run() {
     let mut bench = Bench::open(Arc::new(single("a", true)), &services(), 2);
