Explain requests that another node served, and count answers lost on the way back

explain shows the line of the node that asked and the line of the one that served, with what the first one reached at the time; losses has causes for lost links and for answers of other nodes that were lost. Test: the logs of both nodes explain one request.

--- a/src/ops/explain/mod.rs
+++ b/src/ops/explain/mod.rs
@@ -25,8 +25,8 @@
     pub node: &'a str,
     /// Decisions of the node, in order.
     pub steps: Vec<&'a Line>,
-    /// The line about the answer, or about the rejection if the request was rejected before
-    /// any leaf was selected; `None` if the log ends before.
+    /// The line about the answer, also if another node gave it, or about the rejection if the
+    /// request was rejected before any leaf was selected; `None` if the log ends before.
     pub end: Option<&'a Line>,
     /// The last change of the configuration before the answer.
     pub configuration: Option<&'a Line>,
@@ -34,6 +34,8 @@
     pub store: Option<&'a Line>,
     /// The return of the store from an older copy shortly before the answer.
     pub restore: Option<&'a Line>,
+    /// The last change of what the node reaches before the answer.
+    pub reach: Option<&'a Line>,
     /// Lines about the leafs concerned from shortly before the answer.
     pub leafs: Vec<&'a Line>,
 }
@@ -58,9 +60,10 @@
             configuration: None,
             store: None,
             restore: None,
+            reach: None,
             leafs: Vec::new(),
         });
-        if matches!(line.event.as_str(), "answer" | "rejected") {
+        if is_end(line) {
             history.end = Some(line);
             add_context(history, &lines[..position]);
             histories.extend(current.take());
@@ -81,6 +84,7 @@
         |events: &[&str]| before.iter().rev().find(|line| events.contains(&line.event.as_str()));
     history.configuration = last(&["configuration"]);
     history.store = last(&["store_lost", "store_regained", "store_reached"]);
+    history.reach = last(&["reach"]);
     let Some(end) = history.end else { return };
     let earliest = end.millis_of_day().map(|at| at - CONTEXT_MS - end.number("took_ms"));
     let recent = before.iter().rev().take_while(|line| line.millis_of_day() >= earliest);
@@ -91,6 +95,15 @@
     history.leafs = leafs;
 }
 
+/// Whether a line is the last one that the node wrote about a request.
+fn is_end(line: &Line) -> bool {
+    match line.event.as_str() {
+        "answer" | "rejected" => true,
+        "relayed" => matches!(line.text("outcome"), "answered" | "unknown"),
+        _ => false,
+    }
+}
+
 fn is_leaf_event(line: &Line) -> bool {
     matches!(line.event.as_str(), "leaf" | "leaf_state")
 }
--- a/src/ops/explain/render.rs
+++ b/src/ops/explain/render.rs
@@ -32,6 +32,7 @@
     let mut details = Vec::new();
     match history.end {
         Some(end) if end.event == "rejected" => details.push(rejection_line(end)),
+        Some(end) if end.event == "relayed" => details.push(relayed_line(end)),
         Some(end) => details.extend(answer_lines(end)),
         None => details.push("The log ends before the answer.".to_owned()),
     }
@@ -66,6 +67,15 @@
     )
 }
 
+fn relayed_line(end: &Line) -> String {
+    let (node, took, status) = (end.text("node"), end.text("took_ms"), end.text("status"));
+    let what = match end.text("outcome") {
+        "answered" => format!("node {node} was asked to serve it and answered {status}"),
+        _ => format!("node {node} was asked to serve it and its answer is lost, so {status}"),
+    };
+    format!("At {}: {what}, after {took} ms. See the lines of that node about this id.", end.time)
+}
+
 fn answer_lines(end: &Line) -> Vec<String> {
     let took = end.number("took_ms");
     let what = match end.text("outcome") {
@@ -87,6 +97,9 @@
         end.text("dead"),
         end.text("extra")
     ));
+    if let Some(origin) = end.get("origin").filter(|origin| *origin != "-") {
+        lines.push(format!("The caller had sent it to node {origin}, which asked this one."));
+    }
     let spent = end.number("spent_ms");
     if spent > 0 {
         lines.push(format!("The caller had spent {spent} ms on earlier attempts."));
@@ -126,6 +139,16 @@
             _ => format!("The store had been reachable since {}.", store.time),
         });
     }
+    if let Some(reach) = history.reach.filter(|reach| reach.text("loss") != "nothing") {
+        lines.push(format!(
+            "The node had reached no leaf of {} of {} services since {} at the latest; {} reached \
+             leafs of all.",
+            reach.text("lost"),
+            reach.text("services"),
+            reach.time,
+            count(usize::try_from(reach.number("peers_all")).unwrap_or_default(), "other node")
+        ));
+    }
     if let Some(restore) = history.restore {
         lines.push(format!(
             "The store had returned from an older copy at {} (era {}): it lacked {}, used for two \
@@ -192,6 +215,12 @@
             format!("{at:>6}  {service} late, not sent again: {}", reason(line.text("why")))
         }
         "given_up" => format!("{at:>6}  {service} given up: {}", reason(line.text("why"))),
+        "relayed" => format!(
+            "{:>6}  node {} was asked to serve it and gave it to no leaf: {}",
+            line.text("took_ms"),
+            line.text("node"),
+            line.text("outcome")
+        ),
         other => format!("{at:>6}  {other}"),
     }
 }
@@ -214,6 +243,7 @@
         "no_leaf" => "no leaf had capacity in time",
         "leafs_busy" => "the leafs that could take it were in use or paused",
         "budget" => "the budget for extra sends was exhausted",
+        "lost" => "this node has lost its links to the leafs, and those that got it are silent",
         "node_busy" => "most parts of the query were late, so the node itself was behind",
         other => other,
     }
@@ -225,6 +255,12 @@
     if end.event == "rejected" {
         return Some(rejection(end).to_owned());
     }
+    if end.event == "relayed" {
+        return Some(
+            "this node had lost its links to leafs that the request needs; look at its network."
+                .to_owned(),
+        );
+    }
     let steps = |event: &str, field: &str, value: &str| {
         let lines = history.steps.iter().filter(|step| step.event == event);
         lines.filter(|step| step.text(field) == value).count()
--- a/src/ops/losses/cause.rs
+++ b/src/ops/losses/cause.rs
@@ -42,6 +42,10 @@
     NodeBusy,
     /// The request may have run and must not run twice.
     MayHaveRun,
+    /// The node had lost its links to the leafs that got the request.
+    LinksLost,
+    /// The answer of another node, which served the request, was lost.
+    AnswerLost,
     /// The node had just started.
     NodeStarting,
     /// The request was not acceptable.
@@ -70,6 +74,8 @@
             Cause::Budget => "budget",
             Cause::NodeBusy => "node busy",
             Cause::MayHaveRun => "may have run",
+            Cause::LinksLost => "links to leafs lost",
+            Cause::AnswerLost => "answer of another node lost",
             Cause::NodeStarting => "node starting",
             Cause::Rejected => "not acceptable",
             Cause::Unknown => "unknown",
@@ -161,6 +167,7 @@
             "budget" => Cause::Budget,
             "node_busy" => Cause::NodeBusy,
             "may_have_run" => Cause::MayHaveRun,
+            "lost" => Cause::LinksLost,
             _ => Cause::Unknown,
         }
     }
--- a/src/ops/losses/mod.rs
+++ b/src/ops/losses/mod.rs
@@ -144,6 +144,7 @@
             "traffic" => self.add_traffic(&line),
             "answer" => self.add_answer(node, &line),
             "rejected" => self.add_rejection(&line),
+            "relayed" if line.text("outcome") == "unknown" => self.add_lost_answer(&line),
             "send" | "response" | "given_up" | "not_resent" => self.add_step(node, line),
             _ => {}
         }
@@ -218,6 +219,16 @@
         }
     }
 
+    /// Adds a request whose answer by another node was lost, so that no node counted it.
+    fn add_lost_answer(&mut self, line: &Line) {
+        if let Some(stretch) = self.stretch(line, line.text("route")) {
+            stretch.counted += 1;
+            stretch.lost += 1;
+            stretch.logged += 1;
+            *stretch.causes.entry((Loss::Failed, Cause::AnswerLost)).or_default() += 1;
+        }
+    }
+
     fn add_rejection(&mut self, line: &Line) {
         let (loss, cause) = match line.text("reason") {
             "starting" => (Loss::Refused, Cause::NodeStarting),
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -12,6 +12,7 @@
 };
 use serde_json::Value;
 
+use crate::explain::{command, stdout, stop_and_read_log_of};
 use crate::support::program;
 
 /// Time after the start of a cut until callers of the node must be served again.
@@ -167,6 +168,25 @@
     assert!((1_000..2_000).contains(&deadline), "{deadline}");
 }
 
+#[test]
+fn a_request_through_another_node_is_explained_by_the_logs_of_both() {
+    let mut cut = Cut::open(&queries(), &SERVICES, 1);
+    cut.cut_off();
+    // The limit on lines about complete answers applies for a second.
+    thread::sleep(Duration::from_millis(1_100));
+    let request = Request { id: "r-both", ..Request::default() };
+    assert_eq!(cut.site.ask(0, &request).status, 200);
+
+    let logs = [0, 1].map(|node| stop_and_read_log_of(&mut cut.site, node));
+    let [first, second] = logs.map(|log| stdout(&command(&["explain", "r-both"], &log)));
+
+    assert!(first.contains("node node-1 was asked to serve it and answered 200"), "{first}");
+    assert!(first.contains("Cause: this node had lost its links"), "{first}");
+    assert!(first.contains("1 other node reached leafs of all"), "{first}");
+    assert!(second.contains("The caller had sent it to node node-0"), "{second}");
+    assert!(second.contains("answered by a leaf"), "{second}");
+}
+
 #[test]
 fn a_request_that_must_not_repeat_runs_once_when_the_other_node_dies_under_it() {
     let mut cut = Cut::open(&[gather(0.6), route("unsafe")], &SERVICES, 1);
