Bound what a node that another asks to serve can cost the one that asks

A node is asked only on a connection that others wait for once: attempts that fail are not repeated one by one by those that waited. An idempotent request ends when the node that serves it sends no heartbeats any more. What a heartbeat said of a node's reach counts only while it is recent, and the nodes in use are looked at before all others.

--- a/crates/dispatch/src/relay.rs
+++ b/crates/dispatch/src/relay.rs
@@ -95,18 +95,22 @@
             is_same
                 && (relay.paused_until > now || relay.in_flight > 0 || is_able(known, now, lost))
         });
-        let members: Vec<&Member> = roster
-            .members()
-            .filter(|member| is_able(Some(member), now, lost))
-            .filter(|member| !tried.contains(&member.node.name) && !self.is_paused(now, member))
-            .collect();
-        let (used, unused): (Vec<&Member>, Vec<&Member>) =
-            members.into_iter().partition(|member| self.relay(&member.node.name).is_some());
-        let mut candidates = used;
+        let is_candidate = |member: &&Member| {
+            is_able(Some(member), now, lost)
+                && !tried.contains(&member.node.name)
+                && !self.is_paused(now, member)
+        };
+        let used = self.relays.iter().filter_map(|relay| roster.member(&relay.name));
+        let mut candidates: Vec<&Member> = used.filter(is_candidate).collect();
         let missing = MAX_RELAYS.saturating_sub(candidates.len());
-        let weight = |member: &&Member| spare_capacity(member);
-        if let Ok(chosen) = unused.choose_multiple_weighted(rng, missing, weight) {
-            candidates.extend(chosen.copied());
+        if missing > 0 {
+            let is_unused = |member: &&Member| self.relay(&member.node.name).is_none();
+            let others: Vec<&Member> =
+                roster.members().filter(is_unused).filter(is_candidate).collect();
+            let weight = |member: &&Member| spare_capacity(member);
+            if let Ok(chosen) = others.choose_multiple_weighted(rng, missing, weight) {
+                candidates.extend(chosen.copied());
+            }
         }
         let cost = |member: &&Member| self.cost(member, own);
         let best = candidates.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -210,8 +210,16 @@
         self.phase == Phase::Serving && self.is_heard(now)
     }
 
+    /// Whether a recent heartbeat says that it is cut off from leafs. Nothing is known of a node
+    /// that was heard long ago.
+    #[must_use]
+    pub fn is_cut_off(&self, now: Time) -> bool {
+        self.loss.is_cut_off() && self.is_heard(now)
+    }
+
     /// Whether its latest heartbeat is recent.
-    fn is_heard(&self, now: Time) -> bool {
+    #[must_use]
+    pub fn is_heard(&self, now: Time) -> bool {
         self.last_heard.is_some_and(|at| now.since(at) < SUSPECT_AFTER)
     }
 }
@@ -487,9 +495,8 @@
             let registered = !small && *member.node.zone != *zone && member.registered;
             member.phase == Phase::Serving && (member.is_heard(now) || registered)
         });
-        let members = members.map(|member| {
-            (&member.node, f64::from(member.load) / 1_000.0, member.loss.is_cut_off())
-        });
+        let members = members
+            .map(|member| (&member.node, f64::from(member.load) / 1_000.0, member.is_cut_off(now)));
         let own = own.map(|own| (own.node, 0.0, own.is_cut_off));
         let (cut_off, reaching): (Vec<_>, Vec<_>) =
             members.chain(own).partition(|(_, _, is_cut_off)| *is_cut_off);
--- a/src/gateway/addresses.rs
+++ b/src/gateway/addresses.rs
@@ -92,7 +92,8 @@
 
 /// Returns how many of the addresses are of nodes that are cut off from leafs.
 fn cut_off_nodes(hub: &Hub, tables: &Tables, addresses: &[SocketAddr]) -> usize {
-    let others = tables.roster.members().filter(|member| member.loss.is_cut_off());
+    let now = hub.now();
+    let others = tables.roster.members().filter(|member| member.is_cut_off(now));
     let others = others.filter(|member| addresses.contains(&member.node.callers)).count();
     let own = tables.fleet.loss().is_cut_off() && addresses.contains(&hub.own.callers);
     others + usize::from(own)
--- a/src/gateway/callers/relay.rs
+++ b/src/gateway/callers/relay.rs
@@ -37,6 +37,9 @@
 /// Time before the caller's deadline at which the answer of the other node must be there.
 const RETURN_MARGIN: Duration = Duration::from_millis(10);
 
+/// Interval between two checks whether a node that was asked still sends heartbeats.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Maximum number of requests that this node serves on behalf of others at the same time.
 const MAX_SERVED: usize = 256;
 
@@ -98,7 +101,12 @@
         let sent = hub.now();
         let mut guard = Guard::open(hub, node);
         let deadline = hub.instant(self.outbound.timing.deadline);
-        let reply = hub.relays.ask(node.peers, query, deadline).await;
+        let reply = tokio::select! {
+            reply = hub.relays.ask(node.peers, query, deadline) => reply,
+            () = self.silence(node) => {
+                Err(Failure::Unknown("the node sends no heartbeats any more".to_owned()))
+            }
+        };
         let (ending, outcome, response) = match reply {
             Ok(Reply::Answer(answer)) => {
                 hub.record_relayed_version(answer.version);
@@ -132,6 +140,18 @@
         response
     }
 
+    /// Waits until a node that was asked sends no heartbeats any more. A request that must not
+    /// repeat waits for its answer all the same.
+    async fn silence(&self, node: &Node) {
+        let is_heard = || {
+            let tables = self.hub.tables();
+            tables.roster.member(&node.name).is_some_and(|known| known.is_heard(self.hub.now()))
+        };
+        while !self.route.idempotent || is_heard() {
+            tokio::time::sleep(SILENCE_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Returns the answer to a request that may have run at another node.
     fn failure(&self) -> Response<Full<Bytes>> {
         let is_late = self.hub.now() >= self.outbound.timing.deadline;
--- a/src/gateway/peers/relay.rs
+++ b/src/gateway/peers/relay.rs
@@ -152,8 +152,20 @@
     Unknown(String),
 }
 
+/// State of the connection to one node.
+#[derive(Debug, Default)]
+enum State {
+    /// None was opened yet.
+    #[default]
+    Closed,
+    /// It is open, unless the other side has closed it.
+    Open(Client),
+    /// It could not be opened at this time.
+    Failed(Instant),
+}
+
 /// Connection to one node; the lock is held while it is opened, so that one is enough.
-type Link = Arc<tokio::sync::Mutex<Option<Client>>>;
+type Link = Arc<tokio::sync::Mutex<State>>;
 
 /// Connections to the nodes that serve requests on behalf of this one.
 ///
@@ -165,13 +177,20 @@
     /// Returns the connection to a node; opens one if there is none.
     async fn client(&self, address: SocketAddr) -> Result<Client, Error> {
         let link = Arc::clone(lock(&self.0).entry(address).or_default());
-        let mut link = link.lock().await;
-        if let Some(client) = link.as_ref().filter(|client| !client.is_closed()) {
-            return Ok(client.clone());
+        let mut state = link.lock().await;
+        match &*state {
+            State::Open(client) if !client.is_closed() => return Ok(client.clone()),
+            // Others have waited for the attempt that failed, and don't repeat it one by one.
+            State::Failed(at) if at.elapsed() < CONNECT_TIMEOUT => return Err(Error::Connect),
+            State::Open(_) | State::Failed(_) | State::Closed => {}
         }
         let opened = timeout(CONNECT_TIMEOUT, Client::open(address)).await;
-        let client = opened.map_err(|_| Error::Connect)??;
-        Ok(link.insert(client).clone())
+        let opened = opened.map_err(|_| Error::Connect).and_then(|opened| Ok(opened?));
+        *state = match &opened {
+            Ok(client) => State::Open(client.clone()),
+            Err(_) => State::Failed(Instant::now()),
+        };
+        opened
     }
 
     /// Drops the connection to a node. Requests in flight on it go on.
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -25,16 +25,27 @@
 const REQUEST_PAUSE: Duration = Duration::from_millis(50);
 
 /// A site of nodes of which the first one reaches the leafs through proxies.
-struct Cut {
-    site: Site,
-    leafs: Vec<Leaf>,
+pub struct Cut {
+    pub site: Site,
+    pub leafs: Vec<Leaf>,
+    /// The service of each leaf.
+    services: Vec<String>,
     proxies: Vec<Proxy>,
 }
 
 impl Cut {
     /// Starts leafs of these services, a node that reaches them through proxies, and `others` nodes
     /// that reach them directly.
-    fn open(routes: &[Value], services: &[&str], others: usize) -> Cut {
+    pub fn open(routes: &[Value], services: &[&str], others: usize) -> Cut {
+        Cut::open_with(routes, services, others, Fault::None)
+    }
+
+    /// Does the same, but the first node is cut off from the start.
+    pub fn open_cut_off(routes: &[Value], services: &[&str], others: usize) -> Cut {
+        Cut::open_with(routes, services, others, Fault::Blackhole)
+    }
+
+    fn open_with(routes: &[Value], services: &[&str], others: usize, fault: Fault) -> Cut {
         let mut site = Site::open(program());
         let mut leafs = Vec::new();
         for (number, service) in services.iter().enumerate() {
@@ -46,6 +57,7 @@
         site.configure(routes);
         let proxies: Vec<Proxy> =
             leafs.iter().map(|leaf| Proxy::spawn(leaf.address).expect("a free port")).collect();
+        proxies.iter().for_each(|proxy| proxy.set_fault(fault));
         let view: Vec<(SocketAddr, SocketAddr)> =
             leafs.iter().zip(&proxies).map(|(leaf, proxy)| (leaf.address, proxy.address)).collect();
         site.start_with_view(&view);
@@ -59,7 +71,8 @@
                 metric(node, "jacinthfall_nodes_known") == Some((others + 1) as f64)
             });
         }
-        Cut { site, leafs, proxies }
+        let services = services.iter().map(|service| (*service).to_owned()).collect();
+        Cut { site, leafs, services, proxies }
     }
 
     fn set_fault(&self, fault: Fault) {
@@ -72,8 +85,19 @@
         runs.filter(|run| run.header("x-request-id").as_deref() == Some(id)).count()
     }
 
+    /// Cuts the first node off from the leafs of a service and waits until it knows.
+    pub fn cut_off_service(&self, service: &str) {
+        let proxies = self.proxies.iter().zip(&self.services);
+        let lost = proxies.filter(|(_, other)| *other == service);
+        lost.for_each(|(proxy, _)| proxy.set_fault(Fault::Blackhole));
+        wait_for("the first node to know what it has lost", || {
+            self.shares_served("/g/1", Duration::from_millis(100));
+            metric(&self.site.nodes[0], "jacinthfall_services_lost") == Some(1.0)
+        });
+    }
+
     /// Cuts the first node off and waits until it knows.
-    fn cut_off(&self) {
+    pub fn cut_off(&self) {
         self.set_fault(Fault::Blackhole);
         wait_for("the first node to know that it is cut off", || {
             self.shares_served("/g/1", Duration::from_millis(100));
@@ -82,7 +106,7 @@
     }
 
     /// Sends requests to each node for a time, and returns the share that each of them served.
-    fn shares_served(&self, target: &str, duration: Duration) -> Vec<f64> {
+    pub fn shares_served(&self, target: &str, duration: Duration) -> Vec<f64> {
         let serve = |node: usize| {
             let (end, mut served, mut sent) = (Instant::now() + duration, 0, 0);
             while Instant::now() < end {
@@ -111,11 +135,11 @@
     }
 }
 
-fn queries() -> Vec<Value> {
+pub fn queries() -> Vec<Value> {
     vec![route("safe"), gather(0.6)]
 }
 
-const SERVICES: [&str; 8] = ["a", "a", "s-0", "s-0", "s-1", "s-1", "s-2", "s-2"];
+pub const SERVICES: [&str; 8] = ["a", "a", "s-0", "s-0", "s-1", "s-1", "s-2", "s-2"];
 
 #[test]
 fn callers_of_a_node_whose_links_to_leafs_fall_silent_are_served() {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod output;
 mod quarantine;
 mod rate_limits;
+mod relay;
 mod restore;
 mod soak;
 mod spread;
