Let the soak cut the links of some nodes to leafs

A third of the nodes read the store over a listener in which leafs stand behind proxies; these fall silent, are reset or lose responses, all at once or some, for 0.1 to 3 s at a time. The checks are the same: at most one run, true refusals, whole answers, recovery.

--- a/crates/testkit/src/gateway/site.rs
+++ b/crates/testkit/src/gateway/site.rs
@@ -179,20 +179,20 @@
         self.start_with(self.store);
     }
 
-    /// Starts a node for which each first address stands for the second one in what it reads from
-    /// the store. The nodes must not learn of leafs from each other: start them after the leafs
-    /// are registered, without seeds.
+    /// Opens a further listener of the store, over which each first address stands for the second
+    /// one in what is read, and returns its address. Nodes learn of changes of leafs from each
+    /// other too, and these name the first addresses.
     ///
     /// # Panics
     ///
     /// If no port is free.
-    pub fn start_with_view(&mut self, addresses: &[(SocketAddr, SocketAddr)]) {
+    pub fn open_view(&mut self, addresses: &[(SocketAddr, SocketAddr)]) -> SocketAddr {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let view = self.server.bind_view(any, View::open(addresses));
         let view = self.runtime.block_on(view).expect("a free port");
-        let store = view.address();
+        let address = view.address();
         self.views.push(view);
-        self.start_with_seeds(store, &[]);
+        address
     }
 
     /// Starts a node whose settings name `store` as the store's address.
--- a/crates/testkit/src/gateway/soak.rs
+++ b/crates/testkit/src/gateway/soak.rs
@@ -2,6 +2,7 @@
 //! and invariants are checked on what callers and leafs observe.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
@@ -77,7 +78,7 @@
 /// and [`Soak`].
 #[derive(Default)]
 struct Shared {
-    nodes: RwLock<Vec<std::net::SocketAddr>>,
+    nodes: RwLock<Vec<SocketAddr>>,
     next: AtomicU64,
     stop: AtomicBool,
     /// Whether the behaviour of leafs must no longer be changed.
@@ -112,13 +113,18 @@
     };
     let notices_shared = Arc::clone(&shared);
     let notices_thread = thread::spawn(move || vary_notices(&notices_shared, &leafs, plan.seed));
+    let links_shared = Arc::clone(&shared);
+    let links = Arc::clone(&soak.links);
+    let links_thread = thread::spawn(move || vary_links(&links_shared, &links, plan.seed));
     let end = Instant::now() + plan.duration;
     while Instant::now() < end {
         soak.inject_fault();
     }
     shared.leafs_healed.store(true, Ordering::Relaxed);
-    if leafs_thread.join().is_err() || notices_thread.join().is_err() {
-        shared.record_violation("a thread that changes the behaviour of leafs panicked".to_owned());
+    for thread in [leafs_thread, notices_thread, links_thread] {
+        if thread.join().is_err() {
+            shared.record_violation("a thread that injects faults panicked".to_owned());
+        }
     }
     soak.heal();
     soak.check_recovery();
@@ -180,6 +186,21 @@
     }
 }
 
+/// Cuts the links of some nodes to leafs again and again, until `leafs_healed` is set. It has a
+/// random sequence of its own, so that the other faults of a seed stay the same.
+fn vary_links(shared: &Shared, links: &[Proxy], seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x6c69_6e6b);
+    let faults = [Fault::Blackhole, Fault::Reset, Fault::OneWay];
+    while !shared.leafs_healed.load(Ordering::Relaxed) {
+        thread::sleep(Duration::from_millis(rng.random_range(0..1_500)));
+        let fault = *faults.choose(&mut rng).expect("there are faults");
+        let share = if rng.random_bool(0.7) { 1.0 } else { 0.4 };
+        links.iter().filter(|_| rng.random_bool(share)).for_each(|link| link.set_fault(fault));
+        thread::sleep(Duration::from_millis(rng.random_range(100..3_000)));
+        links.iter().for_each(|link| link.set_fault(Fault::None));
+    }
+}
+
 /// Sends requests to random nodes and checks the answers, until the soak stops.
 fn run_caller(shared: &Shared, seed: u64) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -238,9 +259,15 @@
 struct Soak {
     site: Site,
     proxy: Proxy,
+    /// Links to the leafs that some nodes use.
+    links: Arc<Vec<Proxy>>,
+    /// Address of the store for these nodes.
+    linked_store: SocketAddr,
     servers: Vec<Server>,
     shared: Arc<Shared>,
     rng: ChaCha8Rng,
+    /// Random sequence of the nodes that use links.
+    links_rng: ChaCha8Rng,
     faults: BTreeMap<&'static str, usize>,
     /// When the store, the link to it or a node was disturbed.
     disturbances: Vec<Instant>,
@@ -262,12 +289,20 @@
             }
         }
         site.configure(&[route("unsafe"), gather(0.6)]);
+        let leafs: Vec<SocketAddr> = servers.iter().map(|server| server.leaf.address).collect();
+        let links: Vec<Proxy> =
+            leafs.iter().map(|leaf| Proxy::spawn(*leaf).expect("a proxy")).collect();
+        let linked = leafs.iter().zip(&links).map(|(leaf, link)| (*leaf, link.address));
+        let linked_store = site.open_view(&linked.collect::<Vec<_>>());
         let mut soak = Soak {
             site,
             proxy,
+            links: Arc::new(links),
+            linked_store,
             servers,
             shared: Arc::default(),
             rng: ChaCha8Rng::seed_from_u64(plan.seed),
+            links_rng: ChaCha8Rng::seed_from_u64(!plan.seed ^ 0x6c69_6e6b),
             faults: BTreeMap::new(),
             disturbances: Vec::new(),
             nodes: plan.nodes,
@@ -280,10 +315,12 @@
         soak
     }
 
-    /// Starts a node; on average, half of the nodes reach the store through the proxy.
+    /// Starts a node; on average, half of the nodes reach the store through the proxy, and a third
+    /// of the nodes reach the leafs by links that are cut at times.
     fn start(&mut self) {
         let store = if self.rng.random_bool(0.5) { self.proxy.address } else { self.site.store };
-        self.site.start_with(store);
+        let is_linked = self.links_rng.random_bool(0.33);
+        self.site.start_with(if is_linked { self.linked_store } else { store });
         self.publish_nodes();
     }
 
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -60,7 +60,8 @@
         proxies.iter().for_each(|proxy| proxy.set_fault(fault));
         let view: Vec<(SocketAddr, SocketAddr)> =
             leafs.iter().zip(&proxies).map(|(leaf, proxy)| (leaf.address, proxy.address)).collect();
-        site.start_with_view(&view);
+        let store = site.open_view(&view);
+        site.start_with_seeds(store, &[]);
         site.wait_ready(0);
         for node in 1..=others {
             site.start_with_seeds(site.store, &[]);
