Give maintenance, reach, summaries and addresses modules of their own

The periodic work, what a node says of its reach, log lines about leafs, the summaries and the selection of addresses for callers now stand in modules with one job each; no behaviour changes.

--- a/crates/dispatch/src/fleet/reach.rs
+++ b/crates/dispatch/src/fleet/reach.rs
@@ -117,7 +117,7 @@
     }
 
     /// Chooses leafs to be asked whether they can be reached: one of each lost service, for
-    /// [`MAX_PROBES`] services at most.
+    /// `MAX_PROBES` services at most.
     pub fn choose_lost_leafs(&mut self) -> Vec<Key> {
         let lost: Vec<id::Name> = self.lost_services().cloned().collect();
         let Fleet { services, rng, .. } = self;
--- a/crates/dispatch/src/reach.rs
+++ b/crates/dispatch/src/reach.rs
@@ -16,7 +16,7 @@
     /// None, as far as the node knows.
     #[default]
     Nothing,
-    /// These, at most [`MAX_SERVICES`].
+    /// These, at most `MAX_SERVICES`.
     Services(Vec<Service>),
     /// All of them, or more than can be listed.
     Most,
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -1,7 +1,8 @@
 //! Membership of nodes by heartbeat, and the nodes that callers may use.
 //!
 //! Each node sends heartbeats to the others: to all of them in a small deployment, else to
-//! a fixed set of its own zone and a random sample. Nodes also register in the store.
+//! a fixed set of its own zone and a random sample. Nodes also register in the store. `addresses`
+//! selects the nodes for callers.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -17,6 +18,10 @@
 use crate::reach::Loss;
 use crate::transfer::Rank;
 
+mod addresses;
+
+pub use addresses::Own;
+
 /// Time without a heartbeat after which a node's address isn't given to callers.
 pub const SUSPECT_AFTER: Duration = Duration::from_millis(900);
 
@@ -42,19 +47,10 @@
 /// its heartbeats to the whole zone. All its nodes must know them to name them to callers.
 const MAX_ZONE_BROADCASTERS: usize = 8;
 
-/// Number of nodes in a zone from which on its callers aren't given nodes of other zones.
-const MIN_ZONE_NODES: usize = 4;
-
 /// Minimum capacity of a strong node, as a share of the highest capacity of any node. Callers
 /// are given only strong nodes while those have spare capacity.
 const MIN_STRONG_CAPACITY: f64 = 0.5;
 
-/// Mean load of the strong nodes above which callers are given the other nodes too.
-const MAX_STRONG_LOAD: f64 = 0.6;
-
-/// Minimum number of strong nodes; with fewer, callers are given all nodes.
-const MIN_STRONG_NODES: usize = 2;
-
 /// Minimum demand that a node takes its share for, as a share of the mean demand of all nodes, so
 /// that its first requests can be sent.
 const MIN_DEMAND: f64 = 0.02;
@@ -99,15 +95,6 @@
     pub zone: u32,
 }
 
-/// This node, as far as it matters to the callers that it names addresses to.
-#[derive(Clone, Copy, Debug)]
-pub struct Own<'a> {
-    /// Its description.
-    pub node: &'a Node,
-    /// Whether it is cut off from leafs.
-    pub is_cut_off: bool,
-}
-
 /// A heartbeat of a node.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -481,49 +468,9 @@
         }
         names.into_iter().take(RING_NEIGHBOURS).cloned().collect()
     }
-
-    /// Returns the addresses for callers in a zone, those in the zone first. Nodes of other
-    /// zones are left out if the zone has enough nodes, weak nodes while the strong ones have
-    /// spare capacity, and nodes that are cut off from leafs unless all are. `own` describes this
-    /// node if it serves callers.
-    #[must_use]
-    pub fn caller_addresses(&self, now: Time, own: Option<Own<'_>>, zone: &str) -> Vec<SocketAddr> {
-        let small = self.members.len() <= MAX_BROADCAST_NODES;
-        let members = self.members.values().filter(|member| {
-            // In a large deployment, nodes of other zones send heartbeats to this one only now
-            // and then, so their registration is enough.
-            let registered = !small && *member.node.zone != *zone && member.registered;
-            member.phase == Phase::Serving && (member.is_heard(now) || registered)
-        });
-        let members = members
-            .map(|member| (&member.node, f64::from(member.load) / 1_000.0, member.is_cut_off(now)));
-        let own = own.map(|own| (own.node, 0.0, own.is_cut_off));
-        let (cut_off, reaching): (Vec<_>, Vec<_>) =
-            members.chain(own).partition(|(_, _, is_cut_off)| *is_cut_off);
-        let nodes = if reaching.is_empty() { cut_off } else { reaching };
-        let mut nodes: Vec<(&Node, f64)> =
-            nodes.into_iter().map(|(node, load, _)| (node, load)).collect();
-        nodes.sort_unstable_by_key(|(node, _)| (*node.zone != *zone, node.callers));
-        let near = nodes.iter().filter(|(node, _)| *node.zone == *zone).count();
-        if near >= MIN_ZONE_NODES {
-            nodes.truncate(near);
-        }
-        strong_nodes(&nodes).into_iter().map(|node| node.callers).collect()
-    }
 }
 
 /// Whether a node is strong, given the highest capacity of any node.
 fn is_strong(capacity: u32, most: u32) -> bool {
     f64::from(capacity) >= MIN_STRONG_CAPACITY * f64::from(most)
 }
-
-/// Returns the nodes with high capacity, or all nodes if those are too few or too busy.
-fn strong_nodes<'a>(nodes: &[(&'a Node, f64)]) -> Vec<&'a Node> {
-    let most = nodes.iter().map(|(node, _)| node.capacity).max().unwrap_or_default();
-    let chosen: Vec<_> = nodes.iter().filter(|(node, _)| is_strong(node.capacity, most)).collect();
-    let load = chosen.iter().map(|(_, load)| load).sum::<f64>() / chosen.len().max(1) as f64;
-    if chosen.len() < MIN_STRONG_NODES || load > MAX_STRONG_LOAD {
-        return nodes.iter().map(|(node, _)| *node).collect();
-    }
-    chosen.into_iter().map(|(node, _)| *node).collect()
-}
--- a/src/gateway/audit/mod.rs
+++ b/src/gateway/audit/mod.rs
@@ -6,30 +6,29 @@
 //! is limited, with a separate limit for failures. The latest lines are retained for
 //! `jacinthfall trace`.
 //!
-//! `lines` formats the lines about a request, and `traffic` the summary of each route.
+//! `lines` formats the lines about a request, `leafs` those about leafs, and `traffic` the summary
+//! of each route; `summary` writes all summaries.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Mutex;
 use std::time::Duration;
 
 use http::{HeaderValue, StatusCode};
-use jacinthfall_core::history::Position;
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::caller_timeout::Connection;
-use jacinthfall_dispatch::fleet::{Change, Key, Statement};
 use jacinthfall_dispatch::flight::{Answer, Flight, Tally, Timing};
 use jacinthfall_dispatch::quarantine::Fingerprint;
-use jacinthfall_route::leaf::State;
 use jacinthfall_route::snapshot::Route;
 use metrics::{counter, histogram};
 
-use super::crashes::Break;
-use super::tables::{Shared, Tables};
+use super::tables::Shared;
 use crate::util::lock::lock;
 use crate::util::output::Sampler;
 
+mod leafs;
 mod lines;
+mod summary;
 mod traffic;
 
 use lines::{Outcome, header_text, truncate};
@@ -48,21 +47,9 @@
 /// Maximum number of lines per second about the state of leafs.
 const MAX_STATE_LINES_PER_SECOND: u32 = 20;
 
-/// Maximum number of leafs in one summary of the requests to leafs with a rate limit.
-const MAX_RATE_LIMITED_LINES: usize = 40;
-
-/// Maximum number of nodes in one summary of the requests that others were asked to serve.
-const MAX_RELAY_LINES: usize = 8;
-
-/// Maximum number of services in a line about what this node reaches.
-const MAX_LOST_SERVICES: usize = 16;
-
 /// Maximum size of the retained lines about requests, in bytes.
 const MAX_HISTORY_BYTES: usize = 192 * 1024;
 
-/// Interval between two summaries of the routes' traffic and of the calls to the store.
-const SUMMARY_INTERVAL: Duration = Duration::from_secs(5);
-
 /// A request, as far as it is needed for its log lines.
 #[derive(Clone, Copy, Debug)]
 pub struct Request<'a> {
@@ -275,152 +262,6 @@
         *lock(&self.0).store_calls.entry(kind).or_default() += 1;
     }
 
-    /// Logs that a leaf's availability for further requests changed. `after` says what showed it.
-    pub fn log_leaf_change(
-        &self,
-        now: Time,
-        tables: &Shared,
-        key: Key,
-        after: &str,
-        change: Change,
-    ) {
-        let Some(passed_over) = lock(&self.0).states.admit(now) else { return };
-        let (id, service, in_flight) = {
-            let tables = tables.lock();
-            let Some(leaf) = tables.fleet.leaf(key) else { return };
-            (leaf.id.clone(), leaf.entry.service.clone(), leaf.in_flight())
-        };
-        let (state, amount) = match change {
-            Change::Paused(pause) => ("paused", pause.as_millis() as usize),
-            Change::Recovered => ("back", 0),
-            Change::Limited(requests) => ("limited", requests),
-            Change::Dropped => ("dropped", 0),
-            Change::BackedOff(backoff) => ("backed_off", backoff.as_millis() as usize),
-            Change::Leaving => ("leaving", 0),
-        };
-        log::info!(
-            "event=leaf_state id={id} service={service} state={state} amount={amount} \
-             after={after} in_flight={in_flight} passed_over={passed_over}"
-        );
-    }
-
-    /// Logs that a leaf has crashed while it ran a request, which isn't necessarily the cause.
-    pub fn log_crash(&self, now: Time, tables: &Shared, broken: &Break) {
-        let Some(passed_over) = lock(&self.0).states.admit(now) else { return };
-        let tables = tables.lock();
-        let Some(leaf) = tables.fleet.leaf(broken.leaf) else { return };
-        log::info!(
-            "event=leaf_crashed id={} service={} request={} attempt={:?} after_ms={} \
-             passed_over={passed_over}",
-            leaf.id,
-            leaf.entry.service,
-            broken.request,
-            header_text(&broken.id),
-            broken.took().as_millis()
-        );
-    }
-
-    /// Logs that a request is put in quarantine, by a crash that this node (`here`) or another one
-    /// (`peer`) has seen.
-    pub fn log_quarantine(
-        &self,
-        now: Time,
-        request: Fingerprint,
-        quarantine: Duration,
-        source: &str,
-    ) {
-        let Some(passed_over) = lock(&self.0).states.admit(now) else { return };
-        log::warn!(
-            "event=request_quarantined request={request} for_ms={} source={source} \
-             passed_over={passed_over}",
-            quarantine.as_millis()
-        );
-    }
-
-    /// Logs that a leaf states another rate limit than before.
-    pub fn log_rate_limit(&self, now: Time, tables: &Shared, key: Key, statement: Statement) {
-        let Some(passed_over) = lock(&self.0).states.admit(now) else { return };
-        let tables = tables.lock();
-        let Some(leaf) = tables.fleet.leaf(key) else { return };
-        let limit = match statement {
-            Statement::Unlimited => "none".to_owned(),
-            Statement::PerSecond(limit) => limit.to_string(),
-        };
-        log::info!(
-            "event=leaf_rate_limit id={} service={} per_second={limit} passed_over={passed_over}",
-            leaf.id,
-            leaf.entry.service
-        );
-    }
-
-    /// Logs that a leaf's rate limit can't be decoded, so that it is ignored.
-    pub fn log_malformed_rate_limit(
-        &self,
-        now: Time,
-        tables: &Shared,
-        key: Key,
-        value: Option<&HeaderValue>,
-    ) {
-        let Some(passed_over) = lock(&self.0).states.admit(now) else { return };
-        let tables = tables.lock();
-        let Some(leaf) = tables.fleet.leaf(key) else { return };
-        let value = value.map(header_text).unwrap_or_default();
-        log::warn!(
-            "event=leaf_rate_limit_malformed id={} service={} value={value:?} \
-             passed_over={passed_over}",
-            leaf.id,
-            leaf.entry.service
-        );
-    }
-
-    /// Logs the changed registrations of leafs, and the source that the changes came from.
-    pub fn log_registration_changes(
-        &self,
-        now: Time,
-        tables: &Shared,
-        changed: &[id::Name],
-        source: &str,
-    ) {
-        for id in changed {
-            let Some(passed_over) = lock(&self.0).states.admit(now) else { continue };
-            let (state, at) = {
-                let tables = tables.lock();
-                let record = tables.catalog.record(id);
-                let entry = record.and_then(|record| record.entry.as_ref());
-                let state = entry.map_or("gone", |entry| match entry.state {
-                    State::Ready => "ready",
-                    State::Draining => "draining",
-                });
-                (state, record.map_or(Position::START, |record| record.at))
-            };
-            log::info!(
-                "event=leaf id={id} state={state} at={at} source={source} \
-                 passed_over={passed_over}"
-            );
-        }
-    }
-
-    /// Logs which leafs and services this node reaches, and what the other nodes say of theirs.
-    pub fn log_reach(&self, now: Time, tables: &Shared) {
-        let tables = tables.lock();
-        let (census, peers) = (tables.fleet.census(now), tables.roster.reaching(now));
-        let lost: Vec<&str> =
-            tables.fleet.lost_services().take(MAX_LOST_SERVICES).map(|name| &**name).collect();
-        log::info!(
-            "event=reach loss={} leafs={} silent={} services={} lost={} lost_services=[{}] \
-             peers_all={} peers_some={} peers_none={}",
-            tables.fleet.loss().name(),
-            census.leafs,
-            census.silent_leafs,
-            census.services,
-            census.lost_services,
-            lost.join(" "),
-            peers.all,
-            peers.some,
-            peers.none
-        );
-    }
-
     /// Counts an answer to a look-up of addresses, which named this many of nodes that reach leafs
     /// and of nodes that don't.
     pub fn count_lookup(&self, named: Named) {
@@ -437,47 +278,6 @@
         let requests = inner.history.requests.iter().filter(|(other, _)| *other == id);
         requests.map(|(_, lines)| format!("{lines}\n")).collect()
     }
-
-    /// Logs the summaries if `SUMMARY_INTERVAL` has passed since the last ones.
-    pub fn flush_if_due(&self, now: Time, tables: &Shared) {
-        if now.since(lock(&self.0).last_summary) >= SUMMARY_INTERVAL {
-            self.flush(now, tables);
-        }
-    }
-
-    /// Logs summaries of the calls to the store, of look-ups, of each route's traffic and of the
-    /// requests to leafs with a rate limit since the last ones.
-    pub fn flush(&self, now: Time, tables: &Shared) {
-        let mut inner = lock(&self.0);
-        let window = now.since(inner.last_summary);
-        inner.last_summary = now;
-        let traffic = std::mem::take(&mut inner.traffic);
-        let calls = std::mem::take(&mut inner.store_calls);
-        let lookups = std::mem::take(&mut inner.lookups);
-        let relays = std::mem::take(&mut inner.relays);
-        drop(inner);
-        for (node, Relays { requests, failures }) in relays.iter().take(MAX_RELAY_LINES) {
-            log::info!(
-                "event=relays node={node} window_ms={} requests={requests} failures={failures}",
-                window.as_millis()
-            );
-        }
-        if lookups.answers > 0 {
-            let Named { addresses, cut_off } = lookups.latest;
-            log::info!(
-                "event=lookups window_ms={} answers={} addresses={addresses} cut_off={cut_off}",
-                window.as_millis(),
-                lookups.answers
-            );
-        }
-        if !calls.is_empty() {
-            let calls = calls.iter().map(|(kind, count)| format!(" {kind}={count}"));
-            let calls: String = calls.collect();
-            log::info!("event=store_calls window_ms={}{calls}", window.as_millis());
-        }
-        traffic.lines(window).for_each(|line| log::info!("{line}"));
-        log_rate_limited_sends(&mut tables.lock(), window);
-    }
 }
 
 impl Inner {
@@ -491,25 +291,6 @@
     }
 }
 
-/// Logs how many requests this node has sent to leafs with a rate limit.
-fn log_rate_limited_sends(tables: &mut Tables, window: Duration) {
-    let sends = tables.fleet.take_rate_limited_sends();
-    let skipped = sends.len().saturating_sub(MAX_RATE_LIMITED_LINES);
-    for (key, sends) in sends.into_iter().take(MAX_RATE_LIMITED_LINES) {
-        let Some(leaf) = tables.fleet.leaf(key) else { continue };
-        let Some(limiter) = &leaf.rate_limiter else { continue };
-        log::info!(
-            "event=rate_limited_sends id={} service={} window_ms={} sends={sends} per_second={} \
-             own_per_second={:.3} left_out={skipped}",
-            leaf.id,
-            leaf.entry.service,
-            window.as_millis(),
-            limiter.limit,
-            limiter.rate()
-        );
-    }
-}
-
 /// A request that was rejected before any leaf was chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct Rejection<'a> {
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -3,11 +3,11 @@
 //! [`Hub`] holds it all; [`Tables`], behind its lock, are what decisions depend on. Two parts
 //! have locks of their own: the pool for connections to leafs, and the audit for its counts and
 //! retained lines. Of these, only the lock of the pool may be taken while the tables are locked.
-//! [`maintain`] removes expired entries in the background.
+//! [`maintenance`](super::maintenance) removes expired entries in the background.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize};
 use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
@@ -23,7 +23,7 @@
 use jacinthfall_dispatch::fleet::{Fleet, Key};
 use jacinthfall_dispatch::gossip;
 use jacinthfall_dispatch::latency::Latency;
-use jacinthfall_dispatch::quarantine::{self, Fingerprint, Service};
+use jacinthfall_dispatch::quarantine::{self, Fingerprint};
 use jacinthfall_dispatch::relay;
 use jacinthfall_dispatch::roster::{Demand, Node, Phase, Roster};
 use jacinthfall_dispatch::round_trip;
@@ -41,25 +41,17 @@
 use super::document::Document;
 use super::peers::relay::Links;
 use super::pool::{self, DEFAULT_IDLE_TIMEOUT, Pool};
-use super::probes;
 use super::settings::Settings;
-use super::tables::{INITIAL_LAG, MAINTENANCE_INTERVAL, Meter, Shared, Tables};
+use super::tables::{INITIAL_LAG, Meter, Shared, Tables};
 
 /// Lower bound of the assumed number of active nodes, or the number of known nodes if that is
 /// lower.
-const MIN_ASSUMED_NODES: usize = 8;
-
-/// Time for which the number of active nodes is held after it has dropped. For as long after the
-/// start, [`MIN_ASSUMED_NODES`] applies even if fewer nodes are known.
-const NODE_COUNT_HOLD: Duration = Duration::from_secs(10);
+pub(super) const MIN_ASSUMED_NODES: usize = 8;
 
 /// Time for which a node that watches the store itself waits for changes that a peer already
 /// has, before it asks the peer.
 pub const MAX_WATCH_LAG: Duration = Duration::from_millis(400);
 
-/// Time between two maintenance ticks from which on this process counts as having been paused.
-const MAX_TICK_GAP: Duration = Duration::from_secs(1);
-
 /// Addresses of this node that are announced to other nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Endpoints {
@@ -82,7 +74,7 @@
     pub relays: Links,
     /// Latest version of the configuration under which a node served a request on behalf of this
     /// one.
-    latest_relayed: AtomicU64,
+    pub(super) latest_relayed: AtomicU64,
     /// Number of requests that this node serves on behalf of others.
     pub served_for_others: AtomicUsize,
     /// Size of the responses of leafs that are being received.
@@ -343,53 +335,6 @@
         self.pool.put_idle(key, sender, now, idle);
     }
 
-    /// Returns a node that can serve a request that needs services which this node has lost, except
-    /// for those that were tried.
-    pub fn choose_relay(&self, lost: &[Service], tried: &[id::Name]) -> Option<Node> {
-        let now = self.now();
-        let mut tables = self.tables();
-        let Tables { relays, roster, rng, .. } = &mut *tables;
-        relays.choose(now, roster, &self.own, lost, tried, rng)
-    }
-
-    /// Returns the version that another node must have in force, or a later one, to serve a request
-    /// on behalf of this one: no request is served by an older version than an earlier one was.
-    #[must_use]
-    pub fn relayed_version(&self) -> u64 {
-        self.tables().version().max(self.latest_relayed.load(Ordering::Relaxed))
-    }
-
-    /// Records the version under which another node has served a request.
-    pub fn record_relayed_version(&self, version: u64) {
-        self.latest_relayed.fetch_max(version, Ordering::Relaxed);
-    }
-
-    /// Updates which leafs and services this node reaches, and tells the others if that has changed.
-    fn update_reach(&self, now: Time) {
-        if self.tables().fleet.update_reach(now) {
-            self.announce_reach(now);
-        }
-    }
-
-    /// Records that a lost leaf has responded.
-    pub fn record_heard(&self, leaf: Key) {
-        let now = self.now();
-        let has_changed = {
-            let fleet = &mut self.tables().fleet;
-            let before = fleet.loss();
-            fleet.record_heard(now, leaf);
-            fleet.loss() != before
-        };
-        if has_changed {
-            self.announce_reach(now);
-        }
-    }
-
-    fn announce_reach(&self, now: Time) {
-        self.audit.log_reach(now, &self.tables);
-        self.heartbeat_due.notify_one();
-    }
-
     /// Closes the idle connections to a leaf.
     pub fn close_idle(&self, key: Key) {
         self.tables().fleet.record_closed(key);
@@ -459,56 +404,3 @@
         hub.release(key, sender, hub.now(), DEFAULT_IDLE_TIMEOUT);
     }
 }
-
-/// Periodically removes expired nodes, leafs and connections, updates the number of active
-/// nodes, and logs summaries.
-pub async fn maintain(hub: Arc<Hub>) {
-    let mut interval = tokio::time::interval(MAINTENANCE_INTERVAL);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut last_tick = hub.now();
-    loop {
-        interval.tick().await;
-        let now = hub.now();
-        let (node_changes, expired) = {
-            let mut tables = hub.tables();
-            let node_changes = tables.roster.expire(now, &hub.own);
-            tables.parts.tick();
-            tables.demand.tick();
-            let active = tables.roster.active_nodes(now, NODE_COUNT_HOLD);
-            let known_nodes = tables.roster.len() + 1;
-            let settled = now.since(Time(0)) > NODE_COUNT_HOLD;
-            let min_nodes =
-                if settled { known_nodes.min(MIN_ASSUMED_NODES) } else { MIN_ASSUMED_NODES };
-            let nodes = active.max(min_nodes);
-            if nodes != tables.nodes {
-                tables.set_nodes(nodes);
-            }
-            let max_share = if settled { 1.0 } else { 1.0 / nodes as f64 };
-            tables.update_share(now, &hub.own, max_share);
-            tables.quarantine.expire(now);
-            let is_known = |address: &SocketAddr| {
-                tables.roster.members().any(|member| member.node.peers == *address)
-            };
-            hub.relays.retain(is_known);
-            (node_changes, tables.catalog.expire(now))
-        };
-        for (name, change) in node_changes {
-            log::info!("event=node name={name} phase={change:?}");
-        }
-        if !expired.is_empty() {
-            hub.apply_leaf_changes(&expired, "lapse");
-        }
-        // After a pause of this process, responses are waiting to be read.
-        if now.since(last_tick) < MAX_TICK_GAP {
-            hub.update_reach(now);
-        }
-        probes::spawn(&hub);
-        last_tick = now;
-        if hub.tables().phase == Phase::Starting {
-            hub.serve_if_ready();
-        }
-        hub.pool.expire(now);
-        hub.audit.flush_if_due(now, &hub.tables);
-        hub.metrics.run_upkeep();
-    }
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,7 +10,8 @@
 //! follows the platform's store, and [`peers`] exchanges data with the other nodes,
 //! the configuration as a compressed [`document`].
 //! [`addresses`] serves the address lookup, readiness and metrics; [`audit`] writes the log
-//! lines about requests. The tasks share the state in [`hub`], most of it [`tables`]. Decisions are made in
+//! lines about requests, and [`maintenance`] does the periodic work. The tasks share the state in
+//! [`hub`], most of it [`tables`]; [`reach`] is what it says of leafs that can't be reached. Decisions are made in
 //! `jacinthfall-dispatch`, under one lock ([`hub::Hub::tables`]).
 
 pub mod addresses;
@@ -22,11 +23,13 @@
 pub mod hub;
 pub mod leafs;
 pub mod listener;
+pub mod maintenance;
 pub mod metrics;
 pub mod notices;
 pub mod peers;
 pub mod pool;
 pub mod probes;
+pub mod reach;
 pub mod settings;
 pub mod stop;
 pub mod store;
@@ -80,7 +83,7 @@
     if let Some(collectors) = collectors.transpose()? {
         tokio::spawn(addresses::serve(Arc::clone(&hub), collectors));
     }
-    tokio::spawn(hub::maintain(Arc::clone(&hub)));
+    tokio::spawn(maintenance::run(Arc::clone(&hub)));
     stop::run(&hub, signals, serving).await;
     drop(peers);
     Ok(())
