Ask other nodes only for the version under which requests were served

A node that had put a configuration in force before its peers asked them for that version, and refused its callers until they had it: up to some 0.4 s after each change. What must not go back is the version under which a request was served, so only that is asked for. A node that has not heard of a route yet turns the request away instead of denying it, and isn't left out for that.

The bookkeeping of written sends is a channel now, so that its cost doesn't grow with the square of the parts.

--- a/crates/dispatch/src/relay.rs
+++ b/crates/dispatch/src/relay.rs
@@ -43,7 +43,7 @@
     Declined,
     /// The node could not be reached, or its answer was lost.
     Failed,
-    /// This node cancelled it.
+    /// This node cancelled it, or the node turned it away for a reason that soon passes.
     Cancelled,
 }
 
--- a/src/gateway/callers/driver.rs
+++ b/src/gateway/callers/driver.rs
@@ -1,7 +1,6 @@
 //! Drives one request of a caller to its answer.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use jacinthfall_core::id;
@@ -24,19 +23,16 @@
     outcome: Outcome,
 }
 
-/// A send that has been started.
-struct Started {
+/// A send of a part that begins to write to its connection.
+struct Writing {
     part: usize,
     leaf: Key,
-    task: AbortHandle,
-    /// Set by the task before it writes anything.
-    written: Arc<AtomicBool>,
 }
 
-/// The sends of a request, which are aborted if the caller disconnects.
+/// Tasks of the sends, which are aborted if the caller disconnects.
 #[derive(Default)]
 struct Sends {
-    started: Vec<Started>,
+    handles: Vec<AbortHandle>,
     /// Whether the tasks run on after this is dropped.
     keep_running: bool,
 }
@@ -45,7 +41,7 @@
     /// Cancels the sends. All tasks run on one thread, so a send that hasn't written anything when
     /// this is called won't.
     fn abort(&self) {
-        self.started.iter().for_each(|send| send.task.abort());
+        self.handles.iter().for_each(AbortHandle::abort);
     }
 }
 
@@ -72,6 +68,7 @@
     recorded: bool,
     sends: Sends,
     ended: (mpsc::UnboundedSender<Ended>, mpsc::UnboundedReceiver<Ended>),
+    writing: (mpsc::UnboundedSender<Writing>, mpsc::UnboundedReceiver<Writing>),
 }
 
 impl<'a> Driver<'a> {
@@ -96,6 +93,7 @@
             recorded: false,
             sends,
             ended,
+            writing: mpsc::unbounded_channel(),
         }
     }
 
@@ -142,10 +140,8 @@
         decision: impl FnOnce(&mut Flight, Time, &mut Context<'_>) -> Vec<Action>,
     ) -> Vec<Action> {
         let now = self.hub.now();
-        for send in &self.sends.started {
-            if send.written.load(Ordering::Relaxed) {
-                self.flight.record_written(send.part, send.leaf);
-            }
+        while let Ok(Writing { part, leaf }) = self.writing.1.try_recv() {
+            self.flight.record_written(part, leaf);
         }
         let mut tables = self.hub.tables();
         let is_quarantined = tables.quarantine.remaining(now, self.outbound.fingerprint).is_some();
@@ -189,18 +185,17 @@
         let outbound = Arc::clone(&self.outbound);
         let ended = self.ended.0.clone();
         let route = self.route.name.clone();
-        let written = Arc::new(AtomicBool::new(false));
-        let flag = Arc::clone(&written);
+        let writing = self.writing.0.clone();
         let task = tokio::spawn(async move {
-            let outcome = leafs::send(&hub, leaf, &outbound, sent, &flag).await;
+            // The receiver is gone once the caller has its answer.
+            let before_write = || _ = writing.send(Writing { part, leaf });
+            let outcome = leafs::send(&hub, leaf, &outbound, sent, before_write).await;
             if matches!(outcome, Outcome::Success(_)) {
                 record_response_time(&hub, &route, hub.now().since(sent));
             }
-            // The receiver is gone once the caller has its answer.
             let _ = ended.send(Ended { part, leaf, outcome });
         });
-        let task = task.abort_handle();
-        self.sends.started.push(Started { part, leaf, task, written });
+        self.sends.handles.push(task.abort_handle());
     }
 
     /// Logs the answer; `None` if the caller disconnected before there was one.
--- a/src/gateway/callers/mod.rs
+++ b/src/gateway/callers/mod.rs
@@ -170,6 +170,7 @@
         driver.set_relayed();
         return Ok(response);
     }
+    hub.record_served_version(snapshot.version);
     let answer = driver.run().await;
     // The loss of the leafs may only have shown meanwhile, and nothing has run.
     if matches!(answer, Answer::Refused { .. })
--- a/src/gateway/callers/relay.rs
+++ b/src/gateway/callers/relay.rs
@@ -64,8 +64,8 @@
         }
         let mut tried = Vec::new();
         while tried.len() < MAX_NODES {
-            let query = self.query()?;
             let node = self.hub.choose_relay(&lost, &tried)?;
+            let query = self.query()?;
             tried.push(node.name.clone());
             if let Some(response) = self.ask(&node, &query).await {
                 return Some(response);
@@ -81,7 +81,8 @@
         let left = timing.deadline.since(now).checked_sub(RETURN_MARGIN)?;
         Some(Query {
             node: hub.own.name.clone(),
-            version: hub.relayed_version(),
+            version: hub.served_version(),
+            known_version: hub.tables().version(),
             service: service.cloned(),
             host: outbound.host.clone(),
             method: outbound.method.to_string(),
@@ -109,9 +110,12 @@
         };
         let (ending, outcome, response) = match reply {
             Ok(Reply::Answer(answer)) => {
-                hub.record_relayed_version(answer.version);
+                hub.record_served_version(answer.version);
                 (Ending::Answered, "answered", Some(decode(answer)))
             }
+            Ok(Reply::Refused(Refusal::Behind)) => {
+                (Ending::Cancelled, Refusal::Behind.name(), None)
+            }
             Ok(Reply::Refused(refusal)) => (Ending::Declined, refusal.name(), None),
             Err(Failure::NotRun(reason)) => {
                 log::debug!("node {} can't serve a request: {reason}", node.name);
@@ -249,6 +253,9 @@
     };
     let path = outbound.target.path();
     let Some(route) = snapshot.route(&query.host, path).map(Arc::clone) else {
+        if snapshot.version < query.known_version {
+            return refuse(Refusal::Behind);
+        }
         return answer(snapshot.version, Rejection::NotFound.response()).await;
     };
     let service = service(hub, &route, query.service);
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -72,9 +72,9 @@
     pub pool: Pool,
     /// Connections to nodes that serve requests on behalf of this one.
     pub relays: Links,
-    /// Latest version of the configuration under which a node served a request on behalf of this
-    /// one.
-    pub(super) latest_relayed: AtomicU64,
+    /// Latest version of the configuration under which a request of this node was served, here or
+    /// by another node.
+    pub(super) latest_served: AtomicU64,
     /// Number of requests that this node serves on behalf of others.
     pub served_for_others: AtomicUsize,
     /// Size of the responses of leafs that are being received.
@@ -150,7 +150,7 @@
             own,
             pool: Pool::default(),
             relays: Links::default(),
-            latest_relayed: AtomicU64::new(0),
+            latest_served: AtomicU64::new(0),
             served_for_others: AtomicUsize::new(0),
             received: Received::default(),
             metrics,
--- a/src/gateway/leafs.rs
+++ b/src/gateway/leafs.rs
@@ -3,7 +3,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -131,14 +130,14 @@
     }
 }
 
-/// Sends a request to a leaf that was chosen at `sent` and waits for its response. Sets `written`
-/// before anything is written to the connection.
+/// Sends a request to a leaf that was chosen at `sent` and waits for its response. Calls
+/// `before_write` before anything is written to the connection.
 pub async fn send(
     hub: &Arc<Hub>,
     key: Key,
     outbound: &Outbound,
     sent: Time,
-    written: &AtomicBool,
+    before_write: impl FnOnce(),
 ) -> Outcome {
     let mut guard = Guard { hub, key, sent, ending: Ending::Cancelled };
     let Some((id, address, limit)) = ({
@@ -165,7 +164,7 @@
     let Some(request) = build_request(outbound, &id, now) else {
         return Outcome::Unsent;
     };
-    written.store(true, Ordering::Relaxed);
+    before_write();
     let exchange = sender.exchange(request, &hub.received);
     match timeout_at(hub.instant(outbound.timing.deadline), exchange).await {
         Err(_) => {
--- a/src/gateway/peers/relay.rs
+++ b/src/gateway/peers/relay.rs
@@ -69,8 +69,11 @@
 pub struct Query {
     /// Name of the node that the caller sent it to.
     pub node: id::Name,
-    /// Version of the configuration that must be in force, or a later one.
+    /// Version of the configuration that must be in force, or a later one: that of the latest
+    /// request of the node that asks.
     pub version: u64,
+    /// Version in force at the node that asks, which knows a route for the request.
+    pub known_version: u64,
     /// Service that was chosen for a route that splits its requests over several.
     pub service: Option<id::Name>,
     /// Host that selects the route.
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -21,16 +21,16 @@
         relays.choose(now, roster, &self.own, lost, tried, rng)
     }
 
-    /// Returns the version that another node must have in force, or a later one, to serve a request
-    /// on behalf of this one: no request is served by an older version than an earlier one was.
+    /// Returns the latest version under which a request was served. Another node must have it in
+    /// force, or a later one, to serve a request on behalf of this one.
     #[must_use]
-    pub fn relayed_version(&self) -> u64 {
-        self.tables().version().max(self.latest_relayed.load(Ordering::Relaxed))
+    pub fn served_version(&self) -> u64 {
+        self.latest_served.load(Ordering::Relaxed)
     }
 
-    /// Records the version under which another node has served a request.
-    pub fn record_relayed_version(&self, version: u64) {
-        self.latest_relayed.fetch_max(version, Ordering::Relaxed);
+    /// Records the version under which a request is served, here or by another node.
+    pub fn record_served_version(&self, version: u64) {
+        self.latest_served.fetch_max(version, Ordering::Relaxed);
     }
 
     /// Updates which leafs and services this node reaches, and tells the others if that has changed.
--- a/tests/gateway/relay.rs
+++ b/tests/gateway/relay.rs
@@ -28,6 +28,7 @@
     Query {
         node: "other".into(),
         version,
+        known_version: version,
         service: None,
         host: "shop.example".to_owned(),
         method: "GET".to_owned(),
@@ -77,6 +78,20 @@
     assert!(leaf.runs().is_empty());
 }
 
+#[test]
+fn a_node_that_does_not_know_a_route_yet_does_not_deny_it() {
+    let leaf = serving_leaf("i-1", b"ok");
+    let site = serving(&[route("safe")], &[("i-1", "a", &leaf)]);
+    let unknown = Query { target: "/new/1".to_owned(), ..query(site.version()) };
+    let added = Query { known_version: site.version() + 1, ..unknown.clone() };
+
+    let [unknown, added] = [unknown, added].map(|query| send(site.nodes[0].peers, encode(&query)));
+
+    assert!(matches!(added, Reply::Refused(Refusal::Behind)), "{added:?}");
+    let Reply::Answer(answer) = unknown else { panic!("{unknown:?}") };
+    assert_eq!(answer.status, 404, "both nodes know that there is no such route");
+}
+
 #[test]
 fn a_node_turns_malformed_queries_away_and_serves_on() {
     let leaf = serving_leaf("i-1", b"ok");
