Probe lost leafs also where a service names no path for health checks

Without a path no probe was sent, so a loss would have lasted until another response of the leaf, which nothing asks for while requests go through other nodes. Any path will do, since any response shows that the leaf is reached.

--- a/src/gateway/probes.rs
+++ b/src/gateway/probes.rs
@@ -42,7 +42,8 @@
     let probe = |leaf: Key| {
         let entry = &tables.fleet.leaf(leaf)?.entry;
         let service = snapshot.services.get(&entry.service)?;
-        let path = service.health_path.parse().ok()?;
+        // Any path has a response.
+        let path = service.health_path.parse().unwrap_or_else(|_| Uri::from_static("/"));
         Some(Probe { leaf, address: entry.address, path })
     };
     leafs.into_iter().filter_map(probe).collect()
