Look a relayed request's route up once, and drop a count that nothing used

Found by reading the change again: a node that served a request of another one looked its route up twice; Loss::listed was never called; leafs that refuse connections were counted by the same lines in two places. Behaviour is the same.

--- a/crates/dispatch/src/fleet/reach.rs
+++ b/crates/dispatch/src/fleet/reach.rs
@@ -166,8 +166,7 @@
             let unheard = after(reach.heard_any);
             silent_leafs += unheard;
             silent_services += usize::from(unheard > 0);
-            let unconnectable = keys.iter().filter(|key| self.leafs[key].is_unconnectable());
-            let unconnectable = unconnectable.count();
+            let unconnectable = count_unconnectable(&self.leafs, keys);
             unconnectable_leafs += unconnectable;
             unconnectable_services += usize::from(unconnectable > 0);
         }
@@ -226,10 +225,14 @@
             let silent = keys.iter().filter(|key| self.leafs[key].silent_since(now) > heard);
             census.leafs += keys.len();
             census.silent_leafs += silent.count();
-            let unconnectable = keys.iter().filter(|key| self.leafs[key].is_unconnectable());
-            census.unconnectable_leafs += unconnectable.count();
+            census.unconnectable_leafs += count_unconnectable(&self.leafs, keys);
             census.lost_services += usize::from(self.is_lost(service));
         }
         census
     }
 }
+
+/// Returns how many of these leafs answer on open connections while new ones fail.
+fn count_unconnectable(leafs: &HashMap<Key, Leaf>, keys: &[Key]) -> usize {
+    keys.iter().filter(|key| leafs[key].is_unconnectable()).count()
+}
--- a/crates/dispatch/src/reach.rs
+++ b/crates/dispatch/src/reach.rs
@@ -66,13 +66,4 @@
             Loss::Most => "most",
         }
     }
-
-    /// Returns the number of services that are listed.
-    #[must_use]
-    pub fn listed(&self) -> usize {
-        match self {
-            Loss::Nothing | Loss::Most => 0,
-            Loss::Services(services) => services.len(),
-        }
-    }
 }
--- a/src/gateway/callers/relay.rs
+++ b/src/gateway/callers/relay.rs
@@ -260,7 +260,7 @@
         return refuse(Refusal::Behind);
     };
     let now = hub.now();
-    let Some(outbound) = decode_outbound(hub, &query, now) else {
+    let Some(mut outbound) = decode_outbound(hub, &query, now) else {
         return refuse(Refusal::Malformed);
     };
     let path = outbound.target.path();
@@ -270,6 +270,7 @@
         }
         return answer(snapshot.version, Rejection::NotFound.response()).await;
     };
+    outbound.usual = hub.tables().context(&route).latency.quantile(0.5);
     let service = service(hub, &route, query.service);
     if !lost_services(&hub.tables(), &route, service.as_ref()).is_empty() {
         return refuse(Refusal::Lost);
@@ -309,15 +310,13 @@
     chosen.or_else(|| hub.tables().statistics(route).selector.next(shares))
 }
 
-/// Decodes a request; `None` if it is malformed.
+/// Decodes a request, whose route isn't known yet; `None` if it is malformed.
 fn decode_outbound(hub: &Hub, query: &Query, now: Time) -> Option<Outbound> {
     let method: Method = query.method.parse().ok()?;
     let target: Uri = query.target.parse().ok()?;
     let headers = decode_headers(&query.headers)?;
     let id = headers.get(header::REQUEST_ID)?.clone();
     let fingerprint = fingerprint(&method, &target, &headers, &query.body);
-    let route = hub.snapshot()?.route(&query.host, target.path()).map(Arc::clone);
-    let usual = route.map(|route| hub.tables().context(&route).latency.quantile(0.5));
     let lag = hub.tables().lag();
     Some(Outbound {
         method,
@@ -333,7 +332,7 @@
             lag,
         },
         connection: query.connection,
-        usual: usual.unwrap_or_default(),
+        usual: Duration::ZERO,
         fingerprint,
     })
 }
