--- a/crates/dispatch/tests/suite/support/mod.rs
+++ b/crates/dispatch/tests/suite/support/mod.rs
@@ -70,6 +70,7 @@
         objective: Duration::from_millis(150),
         attempts: 2,
         priority: 1,
+        allows_anonymous: false,
         target: Target::Service(service.into()),
     }
 }
--- a/crates/route/src/snapshot.rs
+++ b/crates/route/src/snapshot.rs
@@ -1,4 +1,4 @@
-//! Snapshot of the configuration: limits, services and routes.
+//! Snapshot of the configuration: limits, services, routes and organisations.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -6,6 +6,8 @@
 
 use jacinthfall_core::id;
 
+use crate::organisation::Directory;
+
 /// Limits on the requests and connections of callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -20,7 +22,7 @@
 }
 
 /// A service that routes send requests to; its instances are leafs.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Name of the service.
     pub name: id::Name,
@@ -28,6 +30,9 @@
     pub max_connections: usize,
     /// Path at which its leafs answer health checks.
     pub health_path: String,
+    /// Number of requests per second that a cold leaf accepts from all nodes together; `None` if
+    /// there is no limit.
+    pub warmup_limit: Option<f64>,
 }
 
 /// One service of a [`Target::Split`].
@@ -97,6 +102,8 @@
     pub attempts: usize,
     /// Priority; 0 is the most urgent.
     pub priority: u32,
+    /// Whether callers need no key of an organisation.
+    pub allows_anonymous: bool,
     /// Destination of the requests.
     pub target: Target,
 }
@@ -110,6 +117,8 @@
     pub limits: Limits,
     /// Services by name.
     pub services: HashMap<id::Name, Service>,
+    /// Organisations that requests must come from; empty if the deployment has none.
+    pub organisations: Directory,
     /// Routes of each host, longest prefix first.
     hosts: HashMap<id::Name, Vec<Arc<Route>>>,
 }
@@ -131,7 +140,15 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Snapshot { version, limits, services, hosts }
+        let organisations = Directory::default();
+        Snapshot { version, limits, services, organisations, hosts }
+    }
+
+    /// Sets the organisations that requests must come from.
+    #[must_use]
+    pub fn with_organisations(mut self, organisations: Directory) -> Snapshot {
+        self.organisations = organisations;
+        self
     }
 
     /// Returns the route of a host with the longest prefix that `path` starts with.
