--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -11,8 +11,6 @@
 use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
-use bytes::Bytes;
-use jacinthfall_adapter::configuration;
 use jacinthfall_core::hash;
 use jacinthfall_core::history::Position;
 use jacinthfall_core::id;
@@ -27,7 +25,7 @@
 use jacinthfall_dispatch::relay;
 use jacinthfall_dispatch::roster::{Demand, Node, Phase, Roster};
 use jacinthfall_dispatch::round_trip;
-use jacinthfall_dispatch::transfer::{Rank, Slots};
+use jacinthfall_dispatch::transfer::Slots;
 use jacinthfall_net::clock::Clock;
 use jacinthfall_route::snapshot::Snapshot;
 use metrics::counter;
@@ -38,7 +36,6 @@
 
 use super::audit::Audit;
 use super::connection::{Received, Sender};
-use super::document::Document;
 use super::peers::relay::Links;
 use super::pool::{self, DEFAULT_IDLE_TIMEOUT, Pool};
 use super::settings::Settings;
@@ -191,85 +188,6 @@
         self.tables().configuration.as_ref().map(|known| Arc::clone(&known.snapshot))
     }
 
-    /// Records that a configuration exists, so that it is fetched. The node that named it may
-    /// have been out of reach, so this resumes a transfer that had no source left.
-    pub fn expect_configuration(&self, rank: Rank) {
-        let now = self.now();
-        let mut tables = self.tables();
-        tables.ranks.expect(now, rank);
-        if rank > tables.ranks.examined() {
-            self.configuration_expected.notify_one();
-        }
-    }
-
-    /// Puts a document that was read from the store in force, unless a later version already is.
-    pub fn configure_from_store(&self, at: Position, text: &Bytes) {
-        if !self.tables().ranks.record_read(at) {
-            return;
-        }
-        let Some((snapshot, decoding)) = self.decode(at, text) else { return };
-        let rank = Rank { version: snapshot.version, at };
-        match Document::pack(rank, text.clone()) {
-            Ok(document) => self.configure(&document, snapshot, decoding, "store"),
-            Err(error) => log::error!("event=configuration_unreadable at={at} reason=\"{error}\""),
-        }
-    }
-
-    /// Puts a document that another node sent in force, unless a later version already is.
-    pub fn configure_from_peer(&self, document: &Document) {
-        let Rank { version, at } = document.edition.rank;
-        match self.decode(at, &document.text) {
-            Some((snapshot, decoding)) if snapshot.version == version => {
-                return self.configure(document, snapshot, decoding, "peer");
-            }
-            Some((snapshot, _)) => log::warn!(
-                "event=configuration_unreadable at={at} reason=\"the document of version {} was \
-                 announced as version {version}\"",
-                snapshot.version
-            ),
-            None => {}
-        }
-        // It is not fetched again.
-        self.tables().ranks.examine(document.edition.rank);
-    }
-
-    /// Decodes a document, and returns how long that took; `None` if it can't be decoded, which
-    /// is logged. It may be large, so the tables must not be locked.
-    fn decode(&self, at: Position, text: &[u8]) -> Option<(Snapshot, Duration)> {
-        let started = self.now();
-        match configuration::decode(text) {
-            Ok(snapshot) => Some((snapshot, self.now().since(started))),
-            Err(error) => {
-                log::warn!("event=configuration_unreadable at={at} reason=\"{error}\"");
-                None
-            }
-        }
-    }
-
-    /// Puts a configuration in force unless a later version already is. `decoding` and `source`
-    /// are logged.
-    fn configure(&self, document: &Document, snapshot: Snapshot, decoding: Duration, source: &str) {
-        let rank = document.edition.rank;
-        {
-            let mut tables = self.tables();
-            let behind = tables.ranks.time_behind(self.now());
-            if !tables.ranks.examine(rank) {
-                let in_force = tables.version();
-                if rank.version < in_force {
-                    log::warn!(
-                        "event=configuration_older version={} in_force={in_force} at={}",
-                        rank.version,
-                        rank.at
-                    );
-                }
-                return;
-            }
-            log_configuration(document, &snapshot, source, decoding, behind);
-            tables.put_in_force(document, Arc::new(snapshot));
-        }
-        self.serve_if_ready();
-    }
-
     /// Logs and counts that the store has returned from an older copy, once this node has
     /// applied what the store, or another node, says since. `before` is the place up to which it
     /// knew all changes before.
@@ -373,30 +291,6 @@
     }
 }
 
-fn log_configuration(
-    document: &Document,
-    snapshot: &Snapshot,
-    source: &str,
-    decoding: Duration,
-    behind: Duration,
-) {
-    let non_idempotent = snapshot.routes().filter(|route| !route.idempotent);
-    let non_idempotent: Vec<&str> = non_idempotent.map(|route| &*route.name).collect();
-    log::info!(
-        "event=configuration version={} at={} source={source} bytes={} packed_bytes={} \
-         decode_ms={} behind_ms={} routes={} services={} unrepeatable=[{}]",
-        snapshot.version,
-        document.edition.rank.at,
-        document.text.len(),
-        document.packed.len(),
-        decoding.as_millis(),
-        behind.as_millis(),
-        snapshot.routes().count(),
-        snapshot.services.len(),
-        non_idempotent.join(" ")
-    );
-}
-
 /// Opens the first connection to a leaf, so that no request has to wait for it.
 async fn preconnect(hub: Arc<Hub>, key: Key, address: SocketAddr) {
     if let Some(permit) = hub.pool.reserve(key, 1)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod addresses;
 pub mod audit;
 pub mod callers;
+pub mod configuration;
 pub mod connection;
 pub mod crashes;
 pub mod document;
