Identify the organisation of each request by its key

Where the configuration has organisations, a request needs the key of one unless its route is open to anonymous callers; it is answered 401 (400 if the key is malformed) before its body is read. The key is removed and the organisation's name put in its place, once, whatever the caller sent. `Outbound` carries the organisation and the priority, which the organisation's own precedes.

A relayed request names the organisation in its headers, as an old build passes them on to the leaf unchanged. An old build, or a node whose version has no organisations yet, also relays an `X-Tenant` that its caller made up, so the name alone proves nothing: a node that has determined the organisation says so in a header of the h2 request, which callers can't reach. Without it the key is looked up at the node that serves the request.

The fingerprint tells callers apart by the organisation's name instead of the key, so that it is the same at both nodes.

--- a/crates/testkit/src/gateway/site.rs
+++ b/crates/testkit/src/gateway/site.rs
@@ -53,6 +53,8 @@
     folder: PathBuf,
     started: usize,
     version: u64,
+    /// Organisations of the configurations that are written; `None` for none.
+    tenants: Option<Value>,
     /// The latest configuration document.
     document: Option<String>,
     server: Server,
@@ -85,6 +87,7 @@
             folder,
             started: 0,
             version: 0,
+            tenants: None,
             document: None,
             server,
             views: Vec::new(),
@@ -140,6 +143,11 @@
         self.put(&format!("servers/{id}"), Some(entry.to_string()));
     }
 
+    /// Sets the organisations of the configurations that are written from now on.
+    pub fn set_tenants(&mut self, tenants: Value) {
+        self.tenants = Some(tenants);
+    }
+
     /// Writes the next version of the configuration, with these routes.
     pub fn configure(&mut self, routes: &[Value]) {
         self.version += 3;
@@ -150,7 +158,7 @@
                 "protocol": "h1", "tls": false,
             })
         });
-        let document = json!({
+        let mut document = json!({
             "version": self.version,
             "routes": routes,
             "services": services,
@@ -159,6 +167,9 @@
                 "header-timeout-ms": 3_000, "idle-timeout-ms": 15_000,
             },
         });
+        if let Some(tenants) = &self.tenants {
+            document["tenants"] = tenants.clone();
+        }
         self.document = Some(document.to_string());
         self.write_configuration();
     }
--- a/src/gateway/callers/mod.rs
+++ b/src/gateway/callers/mod.rs
@@ -1,10 +1,12 @@
 //! HTTP server for callers: receives their requests, drives the sends to leafs and answers.
 //!
-//! `request` checks a request, finds its route and reads it; `driver` carries out the decisions
+//! `request` checks a request, finds its route and reads it, `identity` determines the caller's
+//! organisation; `driver` carries out the decisions
 //! of a [`Flight`] until there is an answer, and `response` puts the answer into HTTP. `relay`
 //! serves requests through other nodes, and theirs.
 
 mod driver;
+mod identity;
 mod relay;
 mod request;
 mod response;
--- a/src/gateway/callers/relay.rs
+++ b/src/gateway/callers/relay.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Response, StatusCode, Uri};
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
 use jacinthfall_adapter::header;
 use jacinthfall_core::id;
@@ -20,9 +20,10 @@
 
 use super::InFlight;
 use super::driver::Driver;
+use super::identity::Identity;
 use super::request::{Rejection, fingerprint};
 use super::response::{respond, text};
-use crate::gateway::audit::Relayed;
+use crate::gateway::audit::{self, Relayed};
 use crate::gateway::hub::Hub;
 use crate::gateway::leafs::Outbound;
 use crate::gateway::peers::relay::{
@@ -134,8 +135,9 @@
         let sent = hub.now();
         let mut guard = Guard::open(hub, node);
         let deadline = hub.instant(self.outbound.timing.deadline);
+        let is_identified = self.outbound.is_identified;
         let reply = tokio::select! {
-            reply = hub.relays.ask(node.peers, query, deadline) => reply,
+            reply = hub.relays.ask(node.peers, query, is_identified, deadline) => reply,
             () = self.silence(node) => {
                 Err(Failure::Unknown("the node sends no heartbeats any more".to_owned()))
             }
@@ -274,9 +276,9 @@
     }
 }
 
-/// Serves a request of a caller on behalf of another node. It goes to leafs of this node or
-/// nowhere.
-pub async fn serve_relayed(hub: &Arc<Hub>, query: Query) -> Reply {
+/// Serves a request of a caller on behalf of another node, which has determined the organisation
+/// if `is_identified`. The request goes to leafs of this node or nowhere.
+pub async fn serve_relayed(hub: &Arc<Hub>, query: Query, is_identified: bool) -> Reply {
     let _in_flight = InFlight::open(hub);
     let Some(_served) = Served::open(&hub.served_for_others) else {
         return refuse(Refusal::Busy);
@@ -285,17 +287,31 @@
         return refuse(Refusal::Behind);
     };
     let now = hub.now();
-    let Some(mut outbound) = decode_outbound(hub, &query, now) else {
+    let Some(decoded) = Decoded::of(&query) else {
         return refuse(Refusal::Malformed);
     };
-    let path = outbound.target.path();
-    let Some(route) = snapshot.route(&query.host, path).map(Arc::clone) else {
-        if snapshot.version < query.known_version {
+    let is_behind = snapshot.version < query.known_version;
+    let Some(route) = snapshot.route(&query.host, decoded.target.path()).map(Arc::clone) else {
+        if is_behind {
             return refuse(Refusal::Behind);
         }
         return answer(snapshot.version, Rejection::NotFound.response()).await;
     };
-    outbound.usual = hub.tables().context(&route).latency.quantile(0.5);
+    let identity = if is_identified {
+        Identity::of_relayed(&snapshot, &route, &decoded.headers)
+    } else {
+        Identity::of_caller(&snapshot, &route, &decoded.headers)
+    };
+    let identity = match identity {
+        Ok(identity) => identity,
+        Err(_) if is_behind => return refuse(Refusal::Behind),
+        Err(rejection) => {
+            let response = rejection.response();
+            decoded.record_rejection(hub, &query.host, rejection, response.status());
+            return answer(snapshot.version, response).await;
+        }
+    };
+    let outbound = decoded.into_outbound(hub, &query, &route, identity, now);
     let service = service(hub, &route, query.service);
     let lack = Lack::of(&hub.tables().fleet, &route.target, service.as_ref());
     if matches!(lack, Lack::Required(_)) {
@@ -336,29 +352,68 @@
     chosen.or_else(|| hub.tables().statistics(route).selector.next(shares))
 }
 
-/// Decodes a request, whose route isn't known yet; `None` if it is malformed.
-fn decode_outbound(hub: &Hub, query: &Query, now: Time) -> Option<Outbound> {
-    let method: Method = query.method.parse().ok()?;
-    let target: Uri = query.target.parse().ok()?;
-    let headers = decode_headers(&query.headers)?;
-    let id = headers.get(header::REQUEST_ID)?.clone();
-    let fingerprint = fingerprint(&method, &target, &headers, &query.body);
-    let lag = hub.tables().lag();
-    Some(Outbound {
-        method,
-        target,
-        host: query.host.clone(),
-        headers,
-        id,
-        body: query.body.clone(),
-        timing: Timing {
-            deadline: now + query.left,
-            spent: query.spent,
-            round_trip: query.round_trip,
-            lag,
-        },
-        connection: query.connection,
-        usual: Duration::ZERO,
-        fingerprint,
-    })
+/// The decoded parts of a request whose route isn't known yet.
+struct Decoded {
+    method: Method,
+    target: Uri,
+    headers: HeaderMap,
+    id: HeaderValue,
+}
+
+impl Decoded {
+    /// Decodes a request; `None` if it is malformed.
+    fn of(query: &Query) -> Option<Decoded> {
+        let headers = decode_headers(&query.headers)?;
+        Some(Decoded {
+            method: query.method.parse().ok()?,
+            target: query.target.parse().ok()?,
+            id: headers.get(header::REQUEST_ID)?.clone(),
+            headers,
+        })
+    }
+
+    fn record_rejection(&self, hub: &Hub, host: &str, rejection: Rejection, status: StatusCode) {
+        let rejected = audit::Rejection {
+            id: Some(&self.id),
+            status,
+            reason: rejection.name(),
+            host,
+            path: self.target.path(),
+        };
+        hub.audit.record_rejection(hub.now(), &hub.tables, &rejected);
+    }
+
+    fn into_outbound(
+        self,
+        hub: &Hub,
+        query: &Query,
+        route: &Route,
+        identity: Identity,
+        now: Time,
+    ) -> Outbound {
+        let Decoded { method, target, mut headers, id } = self;
+        identity.replace_headers(&mut headers);
+        let fingerprint = fingerprint(&method, &target, &headers, &identity, &query.body);
+        let mut tables = hub.tables();
+        Outbound {
+            method,
+            target,
+            host: query.host.clone(),
+            headers,
+            id,
+            body: query.body.clone(),
+            timing: Timing {
+                deadline: now + query.left,
+                spent: query.spent,
+                round_trip: query.round_trip,
+                lag: tables.lag(),
+            },
+            connection: query.connection,
+            usual: tables.context(route).latency.quantile(0.5),
+            fingerprint,
+            priority: identity.priority(route),
+            is_identified: identity.is_determined(),
+            organisation: identity.into_organisation(),
+        }
+    }
 }
--- a/src/gateway/callers/request.rs
+++ b/src/gateway/callers/request.rs
@@ -17,7 +17,8 @@
 use jacinthfall_route::snapshot::{Route, Snapshot};
 
 use super::Caller;
-use super::response::{refusal, text};
+use super::identity::Identity;
+use super::response::{refusal, text, unauthorized};
 use crate::gateway::audit;
 use crate::gateway::hub::Hub;
 use crate::gateway::leafs::{self, Outbound};
@@ -42,6 +43,8 @@
     Deadline,
     /// The framing of its body is broken.
     Body,
+    /// It has several keys, or one that is empty or not text.
+    Key,
 }
 
 impl Defect {
@@ -51,6 +54,7 @@
             Defect::Id => "bad_id",
             Defect::Deadline => "bad_deadline",
             Defect::Body => "bad_body",
+            Defect::Key => "bad_key",
         }
     }
 
@@ -60,6 +64,7 @@
             Defect::Id => "the request must have one id, of 1 to 256 printable characters\n",
             Defect::Deadline => "the deadline must be one number of milliseconds, up to a day\n",
             Defect::Body => "the body is not framed properly\n",
+            Defect::Key => "the request must have one X-Api-Key, which is text and not empty\n",
         }
     }
 }
@@ -73,6 +78,10 @@
     Starting,
     /// No route matches the host and path.
     NotFound,
+    /// The request has no key of an organisation, and its route needs one.
+    NoKey,
+    /// No organisation has the request's key, and its route needs one.
+    UnknownKey,
     /// The request has no id header.
     NoId,
     /// The body exceeds the size limit.
@@ -84,11 +93,13 @@
 }
 
 impl Rejection {
-    const fn name(self) -> &'static str {
+    pub(super) const fn name(self) -> &'static str {
         match self {
             Rejection::Malformed(defect) => defect.name(),
             Rejection::Starting => "starting",
             Rejection::NotFound => "no_route",
+            Rejection::NoKey => "no_key",
+            Rejection::UnknownKey => "unknown_key",
             Rejection::NoId => "no_id",
             Rejection::TooLarge => "too_large",
             Rejection::Incomplete => "incomplete",
@@ -101,6 +112,8 @@
             Rejection::Malformed(defect) => text(StatusCode::BAD_REQUEST, defect.reason()),
             Rejection::Starting => refusal(STARTING_RETRY_AFTER),
             Rejection::NotFound => text(StatusCode::NOT_FOUND, "no route for this host and path\n"),
+            Rejection::NoKey => unauthorized("the request has no X-Api-Key\n"),
+            Rejection::UnknownKey => unauthorized("no organisation has this X-Api-Key\n"),
             Rejection::NoId => text(StatusCode::BAD_REQUEST, "the request has no id\n"),
             Rejection::TooLarge => text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"),
             Rejection::Quarantined(remaining) => refusal(remaining),
@@ -212,6 +225,7 @@
 ) -> Result<Outbound, Rejection> {
     let (head, body) = request.into_parts();
     let mut headers = head.headers;
+    let identity = Identity::of_caller(snapshot, route, &headers)?;
     let id = headers.get(header::REQUEST_ID).cloned().ok_or(Rejection::NoId)?;
     let limit = snapshot.limits.body_bytes;
     let length = headers.get(CONTENT_LENGTH).and_then(|length| length.to_str().ok());
@@ -221,6 +235,7 @@
     let stated = headers.get(header::DEADLINE_MS).and_then(decode_deadline);
     let timing = hub.tables().timing(now, route, stated, caller);
     leafs::strip_hop_by_hop(&mut headers);
+    identity.replace_headers(&mut headers);
     let body = Limited::new(body, limit).collect();
     let body = match tokio::time::timeout_at(hub.instant(timing.deadline), body).await {
         Ok(Ok(body)) => body.to_bytes(),
@@ -235,7 +250,7 @@
     let named = head.uri.authority().map(Authority::as_str);
     let host = named.or_else(|| headers.get(HOST)?.to_str().ok()).unwrap_or_default().to_owned();
     let target = head.uri.path_and_query().map(|target| Uri::from(target.clone()));
-    let fingerprint = fingerprint(&head.method, &head.uri, &headers, &body);
+    let fingerprint = fingerprint(&head.method, &head.uri, &headers, &identity, &body);
     let usual = hub.tables().context(route).latency.quantile(0.5);
     Ok(Outbound {
         method: head.method,
@@ -248,6 +263,9 @@
         connection: caller.connection,
         usual,
         fingerprint,
+        priority: identity.priority(route),
+        is_identified: identity.is_determined(),
+        organisation: identity.into_organisation(),
     })
 }
 
@@ -256,6 +274,7 @@
     method: &Method,
     target: &Uri,
     headers: &HeaderMap,
+    identity: &Identity,
     body: &[u8],
 ) -> Fingerprint {
     let header = |name: HeaderName| headers.get(name).map_or(&b""[..], HeaderValue::as_bytes);
@@ -265,7 +284,7 @@
         header(HOST),
         target.as_bytes(),
         header(AUTHORIZATION),
-        header(header::API_KEY),
+        header(identity.header()),
         body,
     ])
 }
--- a/src/gateway/callers/response.rs
+++ b/src/gateway/callers/response.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::header::{CONTENT_TYPE, RETRY_AFTER, WWW_AUTHENTICATE};
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::Full;
 use jacinthfall_adapter::header;
@@ -51,6 +51,14 @@
     response
 }
 
+/// Returns the rejection of a request without a valid key.
+pub(super) fn unauthorized(reason: &'static str) -> Response<Full<Bytes>> {
+    let mut response = text(StatusCode::UNAUTHORIZED, reason);
+    // RFC 9110 requires the field with this status; no registered scheme is a key by itself.
+    response.headers_mut().insert(WWW_AUTHENTICATE, HeaderValue::from_static("ApiKey"));
+    response
+}
+
 /// Returns a response with a text of this node.
 pub(super) fn text(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
--- a/src/gateway/leafs.rs
+++ b/src/gateway/leafs.rs
@@ -15,6 +15,7 @@
 use jacinthfall_dispatch::fleet::{Ending, Key};
 use jacinthfall_dispatch::flight::{Outcome, Reply, Timing};
 use jacinthfall_dispatch::quarantine::Fingerprint;
+use jacinthfall_route::organisation::Organisation;
 use metrics::counter;
 use tokio::time::timeout_at;
 
@@ -66,6 +67,14 @@
     pub usual: Duration,
     /// What identifies the request when its caller sends it again, at any node.
     pub fingerprint: Fingerprint,
+    /// Organisation of the caller; `None` if the caller is anonymous or the configuration has no
+    /// organisations.
+    pub organisation: Option<Arc<Organisation>>,
+    /// Whether this node or the one that relayed the request has determined the organisation, so
+    /// that `headers` have no key and name the organisation.
+    pub is_identified: bool,
+    /// Priority; 0 is the most urgent.
+    pub priority: u32,
 }
 
 /// Removes the hop-by-hop headers, those named by `Connection` included, and
--- a/src/gateway/peers/relay.rs
+++ b/src/gateway/peers/relay.rs
@@ -27,6 +27,11 @@
 /// HTTP path of a request that is served on behalf of another node.
 pub(super) const PATH: &str = "/relay";
 
+/// Header of a relayed request whose organisation the node that relays it has determined. Builds
+/// without organisations don't send it, and pass on what the caller sent as `X-Tenant`; callers
+/// can't set it, because their headers are in the body.
+const IDENTIFIED: &str = "jacinthfall-identified";
+
 /// Maximum time to connect to another node.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -207,7 +212,8 @@
     }
 
     /// Sends a request to a node and waits for the reply until `deadline`. Dropping the future
-    /// cancels the request there.
+    /// cancels the request there. `is_identified` states that this node has determined the
+    /// organisation of the request, and named it in its headers.
     ///
     /// # Errors
     ///
@@ -216,13 +222,16 @@
         &self,
         address: SocketAddr,
         query: &Query,
+        is_identified: bool,
         deadline: Instant,
     ) -> Result<Reply, Failure> {
         let body = bincode::serde::encode_to_vec(query, standard())
             .map_err(|error| Failure::NotRun(error.to_string()))?;
         let client =
             self.client(address).await.map_err(|error| Failure::NotRun(error.to_string()))?;
-        let response = match timeout_at(deadline, client.post(PATH, &[], body.into())).await {
+        let identified = [(IDENTIFIED, HeaderValue::from_static("1"))];
+        let headers = if is_identified { &identified[..] } else { &[] };
+        let response = match timeout_at(deadline, client.post(PATH, headers, body.into())).await {
             Err(_) => return Err(Failure::Unknown("no answer before the deadline".to_owned())),
             Ok(Err(error @ jacinthfall_net::Error::Unsent(_))) => {
                 return Err(Failure::NotRun(error.to_string()));
@@ -241,8 +250,9 @@
 /// Serves a request of a caller on behalf of another node.
 pub(super) async fn respond(hub: &Arc<Hub>, request: &server::Request) -> server::Response {
     let decoded = bincode::serde::decode_from_slice::<Query, _>(&request.body, standard());
+    let is_identified = request.headers.contains_key(IDENTIFIED);
     let reply = match decoded {
-        Ok((query, _)) => callers::serve_relayed(hub, query).await,
+        Ok((query, _)) => callers::serve_relayed(hub, query, is_identified).await,
         Err(_) => Reply::Refused(Refusal::Malformed),
     };
     match bincode::serde::encode_to_vec(&reply, standard()) {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod input;
 mod nodes;
 mod notices;
+mod organisations;
 mod output;
 mod quarantine;
 mod rate_limits;
