Log the organisation of a request, and name a 401 in explain and losses

An answer line has `organisation=`, the line of a new configuration their number. A request without a known key is logged as rejected with `no_key`, `unknown_key` or `bad_key`, at both nodes if it was relayed; `explain` says what to do about it, and `losses` counts the first two as causes of their own.

--- a/crates/testkit/src/gateway/site.rs
+++ b/crates/testkit/src/gateway/site.rs
@@ -54,7 +54,7 @@
     started: usize,
     version: u64,
     /// Organisations of the configurations that are written; `None` for none.
-    tenants: Option<Value>,
+    organisations: Option<Value>,
     /// The latest configuration document.
     document: Option<String>,
     server: Server,
@@ -87,7 +87,7 @@
             folder,
             started: 0,
             version: 0,
-            tenants: None,
+            organisations: None,
             document: None,
             server,
             views: Vec::new(),
@@ -144,8 +144,8 @@
     }
 
     /// Sets the organisations of the configurations that are written from now on.
-    pub fn set_tenants(&mut self, tenants: Value) {
-        self.tenants = Some(tenants);
+    pub fn set_organisations(&mut self, organisations: Value) {
+        self.organisations = Some(organisations);
     }
 
     /// Writes the next version of the configuration, with these routes.
@@ -167,8 +167,8 @@
                 "header-timeout-ms": 3_000, "idle-timeout-ms": 15_000,
             },
         });
-        if let Some(tenants) = &self.tenants {
-            document["tenants"] = tenants.clone();
+        if let Some(organisations) = &self.organisations {
+            document["tenants"] = organisations.clone();
         }
         self.document = Some(document.to_string());
         self.write_configuration();
--- a/src/gateway/audit/lines.rs
+++ b/src/gateway/audit/lines.rs
@@ -53,13 +53,14 @@
     let mut lines: Vec<String> = described.collect();
     let (tally, timing) = (request.tally, request.timing);
     lines.push(format!(
-        "event=answer id={:?} request={} route={} outcome={} detail={} took_ms={} waited_ms={} parts={} \
+        "event=answer id={:?} request={} route={} organisation={:?} outcome={} detail={} took_ms={} waited_ms={} parts={} \
          done={} dead={} extra={} missing=[{}] objective_ms={} deadline_ms={} spent_ms={} \
          connection={} transport_ms={} lag_ms={} \
          version={} origin={} behind_ms={} upto={} known_ms={} steps_left_out={skipped} passed_over={passed_over}",
         header_text(request.id),
         request.fingerprint,
         request.route.name,
+        request.organisation.map_or("", |organisation| &*organisation.name),
         outcome.name,
         outcome.detail,
         now.since(request.arrived).as_millis(),
--- a/src/gateway/audit/mod.rs
+++ b/src/gateway/audit/mod.rs
@@ -19,6 +19,7 @@
 use jacinthfall_dispatch::caller_timeout::Connection;
 use jacinthfall_dispatch::flight::{Answer, Flight, Tally, Timing};
 use jacinthfall_dispatch::quarantine::Fingerprint;
+use jacinthfall_route::organisation::Organisation;
 use jacinthfall_route::snapshot::Route;
 use metrics::{counter, histogram};
 
@@ -69,6 +70,8 @@
     pub timing: Timing,
     /// Whether the request was the first one on its connection.
     pub connection: Connection,
+    /// Organisation of the caller, if it is known.
+    pub organisation: Option<&'a Organisation>,
     /// Version of the configuration that was in force when it arrived.
     pub version: u64,
     /// Node that the caller sent it to, if it isn't this one.
--- a/src/gateway/callers/driver.rs
+++ b/src/gateway/callers/driver.rs
@@ -215,6 +215,7 @@
             arrived: self.arrived,
             timing: self.outbound.timing,
             connection: self.outbound.connection,
+            organisation: self.outbound.organisation.as_deref(),
             version: self.version,
             origin: self.origin.as_ref(),
         };
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -104,7 +104,7 @@
     let non_idempotent: Vec<&str> = non_idempotent.map(|route| &*route.name).collect();
     log::info!(
         "event=configuration version={} at={} source={source} bytes={} packed_bytes={} \
-         decode_ms={} behind_ms={} routes={} services={} unrepeatable=[{}]",
+         decode_ms={} behind_ms={} routes={} services={} organisations={} unrepeatable=[{}]",
         snapshot.version,
         document.edition.rank.at,
         document.text.len(),
@@ -113,6 +113,7 @@
         behind.as_millis(),
         snapshot.routes().count(),
         snapshot.services.len(),
+        snapshot.organisations.iter().count(),
         non_idempotent.join(" ")
     );
 }
--- a/src/ops/explain/render.rs
+++ b/src/ops/explain/render.rs
@@ -97,6 +97,9 @@
         end.text("dead"),
         end.text("extra")
     ));
+    if let Some(organisation) = end.get("organisation").filter(|name| !name.is_empty()) {
+        lines.push(format!("The caller belongs to organisation {organisation}."));
+    }
     if let Some(origin) = end.get("origin").filter(|origin| *origin != "-") {
         lines.push(format!("The caller had sent it to node {origin}, which asked this one."));
     }
@@ -299,6 +302,15 @@
         "bad_id" => "its id is not printable, too long or not the only one; fix the caller.",
         "bad_deadline" => "its deadline is not a number of milliseconds; fix the caller.",
         "bad_body" => "its body is not framed properly; fix the caller.",
+        "no_key" => {
+            "it has no key of an organisation, which its route needs; give the caller one, to be \
+             sent as X-Api-Key."
+        }
+        "unknown_key" => {
+            "no organisation of the configuration in force has its key; compare the caller's key \
+             with the document of that version."
+        }
+        "bad_key" => "it has several keys, or one that is empty or not text; fix the caller.",
         "no_id" => "the request has no id; fix the caller.",
         "too_large" => "the body exceeds the limit in the configuration.",
         _ => "the body did not arrive in time or was incomplete; check the caller.",
--- a/src/ops/losses/cause.rs
+++ b/src/ops/losses/cause.rs
@@ -48,6 +48,10 @@
     AnswerLost,
     /// The node had just started.
     NodeStarting,
+    /// The request had no key of an organisation, which its route needs.
+    NoKey,
+    /// No organisation has the request's key.
+    UnknownKey,
     /// The request was not acceptable.
     Rejected,
     /// The lines don't show it.
@@ -77,6 +81,8 @@
             Cause::LinksLost => "links to leafs lost",
             Cause::AnswerLost => "answer of another node lost",
             Cause::NodeStarting => "node starting",
+            Cause::NoKey => "no key",
+            Cause::UnknownKey => "unknown key",
             Cause::Rejected => "not acceptable",
             Cause::Unknown => "unknown",
         }
--- a/src/ops/losses/mod.rs
+++ b/src/ops/losses/mod.rs
@@ -232,6 +232,8 @@
     fn add_rejection(&mut self, line: &Line) {
         let (loss, cause) = match line.text("reason") {
             "starting" => (Loss::Refused, Cause::NodeStarting),
+            "no_key" => (Loss::Failed, Cause::NoKey),
+            "unknown_key" => (Loss::Failed, Cause::UnknownKey),
             _ => (Loss::Failed, Cause::Rejected),
         };
         if let Some(stretch) = self.stretch(line, "-") {
--- a/tests/gateway/relay.rs
+++ b/tests/gateway/relay.rs
@@ -22,7 +22,7 @@
 use crate::support::serving;
 
 /// Returns the query of a node that asks for `GET /a/1`.
-fn query(version: u64) -> Query {
+pub fn query(version: u64) -> Query {
     let mut headers = http::HeaderMap::new();
     headers.insert("host", http::HeaderValue::from_static("shop.example"));
     headers.insert("x-request-id", http::HeaderValue::from_static("r-1"));
@@ -44,16 +44,25 @@
 }
 
 /// Sends bytes to a node as a query, and returns its reply.
-fn send(node: SocketAddr, body: Vec<u8>) -> Reply {
+pub fn send(node: SocketAddr, body: Vec<u8>) -> Reply {
+    send_with(node, &[], body)
+}
+
+/// Does the same with headers.
+pub fn send_with(
+    node: SocketAddr,
+    headers: &[(&'static str, http::HeaderValue)],
+    body: Vec<u8>,
+) -> Reply {
     let runtime = jacinthfall_net::runtime(1).expect("a runtime");
     let response = runtime.block_on(async {
         let client = Client::open(node).await.expect("the node listens");
-        client.post("/relay", &[], body.into()).await.expect("a response")
+        client.post("/relay", headers, body.into()).await.expect("a response")
     });
     bincode::serde::decode_from_slice(&response.body, standard()).expect("a reply").0
 }
 
-fn encode(query: &Query) -> Vec<u8> {
+pub fn encode(query: &Query) -> Vec<u8> {
     bincode::serde::encode_to_vec(query, standard()).expect("plain")
 }
 
