Let the later of two versions decide on the organisation of a relayed request

A node that is asked by one with a later version refused what that one had identified but it did not know, or dropped the name on an anonymous route. The other node's decision stands now, as it rests on the later version.

Reasons why a document is refused are escaped in the log, since they quote names and values of the document; a quote in them made the line unreadable for `explain`.

--- a/src/gateway/callers/identity.rs
+++ b/src/gateway/callers/identity.rs
@@ -16,8 +16,8 @@
 pub(super) enum Identity {
     /// The configuration has no organisations, so the headers are passed on as they are.
     Undetermined,
-    /// The node that relays the request has determined it, by a configuration with organisations
-    /// that this node doesn't have; the headers are passed on as they are.
+    /// The node that relays the request has determined it, by a later configuration than this
+    /// node's or by one with organisations; the headers are passed on as they are.
     Relayed,
     /// A caller without a known key, on a route that allows that.
     Anonymous,
@@ -48,23 +48,26 @@
     }
 
     /// Determines the identity from the headers of a request that another node has identified.
+    ///
+    /// If that node has a later configuration (`is_behind`), its decision stands. Else the
+    /// organisation or the permission for anonymous callers may have been withdrawn since.
     pub(super) fn of_relayed(
         snapshot: &Snapshot,
         route: &Route,
         headers: &HeaderMap,
+        is_behind: bool,
     ) -> Result<Identity, Rejection> {
-        if snapshot.organisations.is_empty() {
-            return Ok(Identity::Relayed);
+        let name = headers.get(header::TENANT);
+        let text = name.and_then(|name| std::str::from_utf8(name.as_bytes()).ok());
+        if let Some(organisation) = text.and_then(|name| snapshot.organisations.named(name)) {
+            return Ok(Identity::Organisation(Arc::clone(organisation)));
+        }
+        match name {
+            _ if is_behind || snapshot.organisations.is_empty() => Ok(Identity::Relayed),
+            _ if route.allows_anonymous => Ok(Identity::Anonymous),
+            Some(_) => Err(Rejection::UnknownKey),
+            None => Err(Rejection::NoKey),
         }
-        let name = headers.get(header::TENANT).map(|name| std::str::from_utf8(name.as_bytes()));
-        let rejection = match name {
-            Some(name) => match name.ok().and_then(|name| snapshot.organisations.named(name)) {
-                Some(organisation) => return Ok(Identity::Organisation(Arc::clone(organisation))),
-                None => Rejection::UnknownKey,
-            },
-            None => Rejection::NoKey,
-        };
-        if route.allows_anonymous { Ok(Identity::Anonymous) } else { Err(rejection) }
     }
 
     /// Removes the key and what the caller sent as the organisation's name, and sets that name.
--- a/src/gateway/callers/relay.rs
+++ b/src/gateway/callers/relay.rs
@@ -298,7 +298,7 @@
         return answer(snapshot.version, Rejection::NotFound.response()).await;
     };
     let identity = if is_identified {
-        Identity::of_relayed(&snapshot, &route, &decoded.headers)
+        Identity::of_relayed(&snapshot, &route, &decoded.headers, is_behind)
     } else {
         Identity::of_caller(&snapshot, &route, &decoded.headers)
     };
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -62,7 +62,9 @@
         match configuration::decode(text) {
             Ok(snapshot) => Some((snapshot, self.now().since(started))),
             Err(error) => {
-                log::warn!("event=configuration_unreadable at={at} reason=\"{error}\"");
+                // The reason may quote names and values of the document.
+                let reason = error.to_string();
+                log::warn!("event=configuration_unreadable at={at} reason={reason:?}");
                 None
             }
         }
