Accept no key before a starting node knows that it has the latest ones

A node that starts puts what it lists in force, and waits for its peers before it is ready if the store has returned from an older copy. Requests that reached it meanwhile were served by the copy, with keys that had been withdrawn since.

--- a/src/gateway/callers/request.rs
+++ b/src/gateway/callers/request.rs
@@ -14,6 +14,7 @@
 use jacinthfall_adapter::header;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::quarantine::Fingerprint;
+use jacinthfall_dispatch::roster::Phase;
 use jacinthfall_route::snapshot::{Route, Snapshot};
 
 use super::Caller;
@@ -74,7 +75,7 @@
 pub(super) enum Rejection {
     /// The request is malformed.
     Malformed(Defect),
-    /// The node has no configuration yet.
+    /// The node has no configuration yet, or doesn't know whether it has the latest keys.
     Starting,
     /// No route matches the host and path.
     NotFound,
@@ -169,6 +170,10 @@
 
     pub(super) fn route(&self, hub: &Hub) -> Result<(Arc<Snapshot>, Arc<Route>), Rejection> {
         let snapshot = hub.snapshot().ok_or(Rejection::Starting)?;
+        // A starting node may have read an older copy of the store, with keys that were withdrawn.
+        if !snapshot.organisations.is_empty() && hub.tables().phase == Phase::Starting {
+            return Err(Rejection::Starting);
+        }
         let route = snapshot.route(self.host(), self.target.path());
         let route = Arc::clone(route.ok_or(Rejection::NotFound)?);
         Ok((snapshot, route))
--- a/tests/gateway/organisations.rs
+++ b/tests/gateway/organisations.rs
@@ -8,7 +8,7 @@
 use jacinthfall_standin::platform::control::Change;
 use jacinthfall_testkit::gateway::leaf::{Leaf, Run};
 use jacinthfall_testkit::gateway::site::{
-    Request, Response, Site, exchange, gather, metric, route, serving_leaf, wait_for,
+    Request, Response, Site, exchange, gather, metric, ready, route, serving_leaf, wait_for,
 };
 use serde_json::{Value, json};
 
@@ -525,3 +525,27 @@
         assert!(response.header("retry-after").is_some());
     }
 }
+
+#[test]
+fn a_node_that_waits_for_peers_with_an_older_copy_accepts_no_withdrawn_key() {
+    let leaf = serving_leaf("i-1", b"ok");
+    let (mut site, _silent) = informed(&leaf, 2);
+    site.change(&Change { copy: true, ..Change::default() });
+    write_key(&mut site, "sk-new");
+    (0..2).for_each(|node| wait_for("the key", || ask_node(&site, node, "/a/1", NEW) == 200));
+    site.change(&Change { restore: true, ..Change::default() });
+    site.nodes[..2].iter().for_each(|node| node.process.freeze());
+
+    // It reads the copy and waits for the others, which are silent.
+    site.start_with_seeds(site.store, &[]);
+
+    wait_for("a ready node that is asked all the time", || {
+        let status = ask_node(&site, 2, "/a/1", OLD);
+        let is_ready = ready(&site.nodes[2]);
+        assert!(is_ready || status != 200, "it wasn't ready yet");
+        is_ready
+    });
+    site.nodes[..2].iter().for_each(|node| node.process.resume());
+    wait_for("the key", || ask_node(&site, 2, "/a/1", NEW) == 200);
+    assert_new(&site, 2, "after news of the others");
+}
