Add quotas of organisations over all nodes to the decision core

Cause: nothing limits what an organisation sends to all nodes together.

Change: `dispatch::quota`. Up to 24 electors per group of organisations lend their votes, for 600 ms, to the first candidate in the order of rendezvous hashing that answers. A node grants the share of each quota that its votes are of all votes, so grants of nodes whose views differ never exceed the quota. Nodes ask ahead for half the lifetime of grants (250 ms), or when a request arrives. Up to six nodes may make one request of each organisation on credit when no grant arrives within 15 ms.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod latency;
 pub mod merge;
 pub mod quarantine;
+pub mod quota;
 pub mod reach;
 pub mod relay;
 pub mod roster;
--- /dev/null
+++ b/crates/dispatch/src/quota/ledger.rs
@@ -0,0 +1,303 @@
+//! State of a node that grants requests: votes of electors, and a token bucket for each
+//! organisation.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use jacinthfall_core::id;
+use jacinthfall_core::time::Time;
+use jacinthfall_route::organisation::Quota;
+
+use super::{Ask, CREDIT_TIME, Grant, LEASE, Limit, MAX_ROWS, Organisation, Rule, Want};
+
+/// Time between two calls of [`Ledger::advance`] from which on this process counts as having been
+/// paused. Tokens from before may have been granted by another node meanwhile.
+const MAX_GAP: Duration = Duration::from_millis(500);
+
+/// Coverage from which on a node grants on behalf of most nodes.
+const MOST: f64 = 0.5;
+
+/// Maximum number of nodes and of organisations that are tracked.
+const MAX_TRACKED: usize = 4_096;
+
+/// A node that has asked.
+#[derive(Debug)]
+struct Asker {
+    /// Start of its process.
+    started: u64,
+    /// Number of its latest message.
+    number: u64,
+    /// When its vote ends.
+    vote_ends: Time,
+    /// When its latest message arrived.
+    heard: Time,
+    /// When its latest message arrived that wanted something.
+    wanted: Option<Time>,
+    /// Until when it may make requests on credit.
+    credit_ends: Time,
+}
+
+/// Token bucket of one organisation.
+#[derive(Debug)]
+struct Account {
+    /// Limit of this node's configuration.
+    own: Option<Quota>,
+    /// Lower limit that another node has stated, and until when it applies.
+    stated: Option<(Limit, Time)>,
+    tokens: f64,
+    /// [`Ledger::earned`] when `tokens` was updated.
+    earned: f64,
+}
+
+impl Account {
+    fn open(earned: f64, tokens: f64) -> Account {
+        Account { own: None, stated: None, tokens, earned }
+    }
+
+    /// Returns the limit in force.
+    fn quota(&self, now: Time) -> Option<Quota> {
+        let stated = self.stated.filter(|(_, until)| now < *until).map(|(limit, _)| Quota {
+            rate_per_s: f64::from(limit.rate) / 1_000.0,
+            burst: f64::from(limit.burst) / 1_000.0,
+        });
+        match (self.own, stated) {
+            (Some(own), Some(stated)) => Some(Quota {
+                rate_per_s: own.rate_per_s.min(stated.rate_per_s),
+                burst: own.burst.min(stated.burst),
+            }),
+            (own, stated) => own.or(stated),
+        }
+    }
+
+    /// Adds what the bucket has earned.
+    fn update(&mut self, now: Time, rule: &Rule, earned: f64, coverage: f64) {
+        let time = earned - std::mem::replace(&mut self.earned, earned);
+        let Some(quota) = self.quota(now) else { return };
+        self.tokens += quota.rate_per_s * time;
+        // A bucket that holds less than one whole token could never grant.
+        let capacity = (coverage * rule.capacity(&quota)).max(1.0);
+        self.tokens = self.tokens.min(capacity);
+    }
+
+    /// Takes up to `wanted` whole tokens, and returns how many.
+    fn take(&mut self, wanted: u16) -> u16 {
+        let granted = self.tokens.floor().clamp(0.0, f64::from(wanted));
+        self.tokens -= granted;
+        granted as u16
+    }
+
+    /// Records the limit that another node has stated.
+    fn state(&mut self, now: Time, rule: &Rule, limit: Limit) {
+        let own = self.own.as_ref().map(Limit::of);
+        let is_lower = own.is_none_or(|own| limit.rate < own.rate || limit.burst < own.burst);
+        let is_other_lower =
+            self.stated.is_some_and(|(stated, until)| now < until && stated.rate < limit.rate);
+        if is_lower && !is_other_lower {
+            self.stated = Some((limit, now + rule.window));
+        }
+    }
+}
+
+/// State of a node that grants requests of one group of organisations.
+#[derive(Debug)]
+pub struct Ledger {
+    rule: Rule,
+    electors: Vec<id::Name>,
+    min_electors: usize,
+    askers: HashMap<id::Name, Asker>,
+    accounts: HashMap<Organisation, Account>,
+    /// Seconds, each multiplied by the coverage at that time.
+    earned: f64,
+    /// When `earned` was updated.
+    advanced: Time,
+    /// Whether this node had votes then.
+    had_votes: bool,
+    /// Whether it has granted on behalf of most nodes since the process started.
+    has_begun: bool,
+}
+
+impl Ledger {
+    /// Creates the state of a node without votes.
+    #[must_use]
+    pub fn open(rule: Rule) -> Ledger {
+        Ledger {
+            rule,
+            electors: Vec::new(),
+            min_electors: 0,
+            askers: HashMap::new(),
+            accounts: HashMap::new(),
+            earned: 0.0,
+            advanced: Time(0),
+            had_votes: false,
+            has_begun: false,
+        }
+    }
+
+    /// Sets the nodes that have votes.
+    pub fn set_electors(&mut self, now: Time, electors: Vec<id::Name>) {
+        self.advance(now);
+        self.electors = electors;
+    }
+
+    /// Sets the minimum number of electors to assume.
+    pub fn set_min_electors(&mut self, now: Time, min_electors: usize) {
+        self.advance(now);
+        self.min_electors = min_electors;
+    }
+
+    /// Sets the quotas of the configuration in force at this node.
+    pub fn set_quotas(&mut self, now: Time, quotas: HashMap<Organisation, Quota>) {
+        self.advance(now);
+        let (earned, coverage) = (self.earned, self.coverage(now));
+        let tokens = if coverage >= MOST { self.rule.initial_requests() } else { 0.0 };
+        self.accounts.retain(|organisation, _| quotas.contains_key(organisation));
+        for (organisation, quota) in quotas {
+            let account =
+                self.accounts.entry(organisation).or_insert_with(|| Account::open(earned, tokens));
+            account.update(now, &self.rule, earned, coverage);
+            account.own = Some(quota);
+            account.update(now, &self.rule, earned, coverage);
+        }
+    }
+
+    /// Returns the share of all votes that this node has, from 0 to 1.
+    ///
+    /// ```
+    /// use jacinthfall_core::time::Time;
+    /// use jacinthfall_dispatch::quota::{Ledger, Rule};
+    /// let rule = Rule { window: std::time::Duration::from_secs(5), overage: 0.1, slack: 20.0 };
+    /// let mut ledger = Ledger::open(rule);
+    /// ledger.set_electors(Time(0), vec!["a".into(), "b".into()]);
+    /// assert_eq!(ledger.coverage(Time(0)), 0.0, "no elector has voted yet");
+    /// ```
+    #[must_use]
+    pub fn coverage(&self, now: Time) -> f64 {
+        let votes = self.electors.iter().filter_map(|name| self.askers.get(name));
+        let votes = votes.filter(|asker| asker.vote_ends > now).count();
+        votes as f64 / self.electors.len().max(self.min_electors).max(1) as f64
+    }
+
+    /// Lets time pass. Discards all tokens if this process was paused.
+    pub fn advance(&mut self, now: Time) {
+        let passed = now.since(self.advanced);
+        if passed.is_zero() {
+            return;
+        }
+        self.advanced = now;
+        let coverage = self.coverage(now);
+        let had_votes = std::mem::replace(&mut self.had_votes, coverage > 0.0);
+        // Without votes, another node grants, and may have granted all that this one has earned.
+        if passed > MAX_GAP || !self.had_votes {
+            if had_votes {
+                self.discard_tokens();
+            }
+            return;
+        }
+        self.earned += passed.as_secs_f64() * coverage;
+        if coverage >= MOST && !std::mem::replace(&mut self.has_begun, true) {
+            let tokens = self.rule.initial_requests();
+            for account in self.accounts.values_mut() {
+                account.tokens = account.tokens.max(tokens);
+            }
+        }
+    }
+
+    fn discard_tokens(&mut self) {
+        let earned = self.earned;
+        for account in self.accounts.values_mut() {
+            (account.tokens, account.earned) = (0.0, earned);
+        }
+    }
+
+    /// Records a message, and returns what is granted; `None` if the message is outdated.
+    pub fn receive(&mut self, now: Time, started: u64, ask: &Ask) -> Option<Vec<Grant>> {
+        self.advance(now);
+        self.record_asker(now, started, ask)?;
+        let coverage = self.coverage(now);
+        let wants = ask.wants.iter().take(MAX_ROWS);
+        let wants = wants.filter(|want| want.organisation.group() == ask.group);
+        Some(wants.filter_map(|want| self.grant(now, coverage, want)).collect())
+    }
+
+    fn record_asker(&mut self, now: Time, started: u64, ask: &Ask) -> Option<()> {
+        if self.askers.len() >= MAX_TRACKED && !self.askers.contains_key(&ask.node) {
+            self.askers.retain(|_, asker| now.since(asker.heard) < 10 * LEASE);
+            if self.askers.len() >= MAX_TRACKED {
+                return None;
+            }
+        }
+        let asker = self.askers.entry(ask.node.clone()).or_insert(Asker {
+            started: 0,
+            number: 0,
+            vote_ends: Time(0),
+            heard: now,
+            wanted: None,
+            credit_ends: Time(0),
+        });
+        if (ask.started, ask.number) <= (asker.started, asker.number) {
+            return None;
+        }
+        // The vote of the same node's earlier process goes on: it may not have voted elsewhere.
+        (asker.started, asker.number, asker.heard) = (ask.started, ask.number, now);
+        asker.vote_ends = match ask.vote {
+            // A clock that is ahead of this one is that of an earlier process, or invalid.
+            Some(vote) if vote.started == started && vote.clock <= now.0 => {
+                asker.vote_ends.max(Time(vote.clock) + LEASE)
+            }
+            Some(_) => asker.vote_ends,
+            None => Time(0),
+        };
+        if !ask.wants.is_empty() {
+            asker.wanted = Some(now);
+        }
+        self.renew_credit(now, &ask.node);
+        Some(())
+    }
+
+    /// Lets a node make requests on credit if not too many others may. Nodes without requests may
+    /// only if there are few nodes.
+    fn renew_credit(&mut self, now: Time, node: &id::Name) {
+        let max = self.rule.max_creditors();
+        let creditors =
+            self.askers.iter().filter(|(name, asker)| *name != node && asker.credit_ends > now);
+        let is_free = creditors.count() < max;
+        let is_few = self.askers.len() <= max;
+        let Some(asker) = self.askers.get_mut(node) else { return };
+        let is_active = asker.wanted.is_some_and(|at| now.since(at) < self.rule.window);
+        if is_free && (is_active || is_few) {
+            asker.credit_ends = now + CREDIT_TIME;
+        }
+    }
+
+    /// Whether a node may make requests on credit.
+    #[must_use]
+    pub fn has_credit(&self, now: Time, node: &id::Name) -> bool {
+        let is_granting = self.coverage(now) >= MOST;
+        is_granting && self.askers.get(node).is_some_and(|asker| asker.credit_ends > now)
+    }
+
+    fn grant(&mut self, now: Time, coverage: f64, want: &Want) -> Option<Grant> {
+        let is_tracked = self.accounts.contains_key(&want.organisation);
+        // The debt of a node is left with it until another one grants.
+        if coverage == 0.0
+            || want.limit.rate == 0
+            || !is_tracked && self.accounts.len() >= MAX_TRACKED
+        {
+            return None;
+        }
+        let earned = self.earned;
+        let account =
+            self.accounts.entry(want.organisation).or_insert_with(|| Account::open(earned, 0.0));
+        account.state(now, &self.rule, want.limit);
+        account.update(now, &self.rule, earned, coverage);
+        if want.has_debt {
+            account.tokens -= 1.0;
+        }
+        let requests = account.take(want.requests);
+        let rate = account.quota(now).map_or(0.0, |quota| quota.rate_per_s) * coverage;
+        let is_short = requests < want.requests;
+        let missing = if is_short { 1.0 - account.tokens } else { 0.0 };
+        let wait_ms = (1_000.0 * missing / rate.max(0.001)).clamp(0.0, 60_000.0).ceil() as u16;
+        Some(Grant { organisation: want.organisation, requests, wait_ms })
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/quota/wallet.rs
@@ -0,0 +1,261 @@
+//! State of a node that spends: the requests that it has been granted, and what it will need.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use jacinthfall_core::time::Time;
+
+use super::{GROUPS, Grant, Limit, MAX_ROWS, MAX_WAIT, Organisation, Rule, Want};
+
+/// Time for which a node asks ahead, as a share of the lifetime of grants.
+const HORIZON: f64 = 0.5;
+
+/// Interval at which the rate of requests is measured.
+const METER_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Weight of the latest interval in the measured rate.
+const METER_WEIGHT: f64 = 0.25;
+
+/// Minimum expected requests for which a node asks ahead. A node that expects
+/// fewer asks when a request arrives, since most grants would expire unused.
+const MIN_AHEAD: f64 = 2.0;
+
+/// Maximum time for which an answer that nothing is left holds. Other nodes may leave more.
+const MAX_SHORTAGE: Duration = Duration::from_millis(100);
+
+/// Interval at which the same need is stated again while requests wait.
+const RETRY_INTERVAL: Duration = Duration::from_millis(6);
+
+/// Interval between two messages that ask ahead.
+const AHEAD_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Decision on a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// It may be made.
+    Admit,
+    /// It waits for a grant.
+    Wait,
+    /// It is refused; after this time, further requests may be granted.
+    Refuse(Duration),
+}
+
+/// What a node holds of one organisation's quota.
+#[derive(Debug)]
+struct Purse {
+    /// Limit of the configuration in force.
+    limit: Limit,
+    /// Numbers of granted requests, with the time at which each grant expires.
+    grants: VecDeque<(Time, u16)>,
+    /// Number of requests that wait.
+    waiting: u16,
+    /// When a request was made on credit that no granting node knows of yet.
+    debt: Option<Time>,
+    /// Until when nothing is left, according to the latest reply.
+    short_until: Time,
+    /// When a further request may be granted, according to the latest reply.
+    next: Time,
+    /// Number of requests in the current interval.
+    count: u32,
+    /// When the current interval began.
+    interval_began: Time,
+    /// Requests per second.
+    rate: f64,
+    /// When this node last asked.
+    asked: Option<Time>,
+}
+
+impl Purse {
+    fn open(limit: Limit) -> Purse {
+        Purse {
+            limit,
+            grants: VecDeque::new(),
+            waiting: 0,
+            debt: None,
+            short_until: Time(0),
+            next: Time(0),
+            count: 0,
+            interval_began: Time(0),
+            rate: 0.0,
+            asked: None,
+        }
+    }
+
+    fn measure(&mut self, now: Time) {
+        let passed = now.since(self.interval_began);
+        if passed < METER_INTERVAL {
+            return;
+        }
+        let latest = f64::from(std::mem::take(&mut self.count)) / passed.as_secs_f64();
+        let intervals = (passed.as_secs_f64() / METER_INTERVAL.as_secs_f64()).min(1_000.0);
+        let kept = (1.0 - METER_WEIGHT).powf(intervals);
+        self.rate = self.rate * kept + latest * (1.0 - kept);
+        self.interval_began = now;
+    }
+
+    fn held(&mut self, now: Time) -> u32 {
+        while self.grants.front().is_some_and(|(expires, _)| *expires <= now) {
+            self.grants.pop_front();
+        }
+        self.grants.iter().map(|(_, requests)| u32::from(*requests)).sum()
+    }
+
+    fn take(&mut self, now: Time) -> bool {
+        if self.held(now) == 0 {
+            return false;
+        }
+        if let Some((_, requests)) = self.grants.front_mut() {
+            *requests -= 1;
+            if *requests == 0 {
+                self.grants.pop_front();
+            }
+        }
+        true
+    }
+
+    fn decide(&mut self, now: Time, arrived: Time, has_credit: bool) -> Decision {
+        if self.take(now) {
+            Decision::Admit
+        } else if now < self.short_until {
+            Decision::Refuse(self.next.since(now))
+        } else if now.since(arrived) < MAX_WAIT {
+            Decision::Wait
+        } else if has_credit && self.debt.is_none() {
+            self.debt = Some(now);
+            Decision::Admit
+        } else {
+            Decision::Refuse(self.next.since(now))
+        }
+    }
+
+    /// Returns the number of requests that this node should ask for now.
+    fn wanted(&mut self, now: Time, horizon: Duration) -> u16 {
+        self.measure(now);
+        let ahead = self.rate * horizon.as_secs_f64();
+        let is_ahead_due = self.asked.is_none_or(|at| now.since(at) >= AHEAD_INTERVAL);
+        let is_retry_due = self.asked.is_none_or(|at| now.since(at) >= RETRY_INTERVAL);
+        let ahead = if ahead >= MIN_AHEAD { ahead.floor() } else { 0.0 };
+        if !(is_ahead_due && ahead > 0.0 || is_retry_due && self.waiting > 0) {
+            return 0;
+        }
+        let need = u32::from(self.waiting) + ahead as u32;
+        let wanted = need.saturating_sub(self.held(now));
+        u16::try_from(wanted).unwrap_or(u16::MAX)
+    }
+}
+
+/// Requests that a node has been granted, by organisation.
+#[derive(Debug)]
+pub struct Wallet {
+    rule: Rule,
+    purses: HashMap<Organisation, Purse>,
+    /// Until when requests of each group's organisations may be made on credit.
+    credit: [Time; GROUPS as usize],
+}
+
+impl Wallet {
+    /// Creates an empty wallet.
+    #[must_use]
+    pub fn open(rule: Rule) -> Wallet {
+        Wallet { rule, purses: HashMap::new(), credit: [Time(0); GROUPS as usize] }
+    }
+
+    /// Whether no organisation has made a request.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.purses.is_empty()
+    }
+
+    /// Decides on a request that has just arrived.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jacinthfall_core::time::Time;
+    /// use jacinthfall_dispatch::quota::{Decision, Limit, Organisation, Rule, Wallet};
+    /// let rule = Rule { window: Duration::from_secs(5), overage: 0.1, slack: 20.0 };
+    /// let (bank, mut wallet) = (Organisation::of("bank"), Wallet::open(rule));
+    /// let limit = Limit { rate: 1_000, burst: 0 };
+    /// assert_eq!(wallet.request(Time(0), bank, limit), Decision::Wait);
+    /// let late = wallet.retry(Time::from_millis(15), bank, Time(0));
+    /// assert!(matches!(late, Decision::Refuse(_)));
+    /// ```
+    pub fn request(&mut self, now: Time, organisation: Organisation, limit: Limit) -> Decision {
+        let purse = self.purses.entry(organisation).or_insert_with(|| Purse::open(limit));
+        purse.limit = limit;
+        purse.measure(now);
+        purse.count += 1;
+        let decision = purse.decide(now, now, false);
+        if decision == Decision::Wait {
+            purse.waiting = purse.waiting.saturating_add(1);
+        }
+        decision
+    }
+
+    /// Decides again on a request that arrived at `arrived` and was to wait.
+    pub fn retry(&mut self, now: Time, organisation: Organisation, arrived: Time) -> Decision {
+        let has_credit = now < self.credit[usize::from(organisation.group())];
+        let Some(purse) = self.purses.get_mut(&organisation) else {
+            return Decision::Refuse(Duration::ZERO);
+        };
+        let decision = purse.decide(now, arrived, has_credit);
+        if decision != Decision::Wait {
+            purse.waiting = purse.waiting.saturating_sub(1);
+        }
+        decision
+    }
+
+    /// Records that a request that was to wait is no longer there.
+    pub fn cancel(&mut self, organisation: Organisation) {
+        if let Some(purse) = self.purses.get_mut(&organisation) {
+            purse.waiting = purse.waiting.saturating_sub(1);
+        }
+    }
+
+    /// Removes the organisations that `is_known` doesn't hold for.
+    pub fn retain(&mut self, is_known: impl Fn(&Organisation) -> bool) {
+        self.purses.retain(|organisation, purse| purse.waiting > 0 || is_known(organisation));
+    }
+
+    /// Returns what this node should ask for now on behalf of a group's organisations.
+    pub fn wants(&mut self, now: Time, group: u8) -> Vec<Want> {
+        let horizon = self.rule.grant_lifetime().mul_f64(HORIZON);
+        let own = self.purses.iter_mut().filter(|(name, _)| name.group() == group);
+        let wants = own.filter_map(|(organisation, purse)| {
+            let requests = purse.wanted(now, horizon);
+            let has_debt = purse.debt.is_some();
+            if requests == 0
+                && !(has_debt && purse.asked.is_none_or(|at| now.since(at) >= RETRY_INTERVAL))
+            {
+                return None;
+            }
+            purse.asked = Some(now);
+            Some(Want { organisation: *organisation, requests, has_debt, limit: purse.limit })
+        });
+        wants.take(MAX_ROWS).collect()
+    }
+
+    /// Lets requests of a group's organisations be made on credit.
+    pub fn set_credit(&mut self, group: u8, until: Time) {
+        let credit = &mut self.credit[usize::from(group)];
+        *credit = until.max(*credit);
+    }
+
+    /// Records a grant that was asked for at `asked`. It expires from then on, since it was
+    /// made later.
+    pub fn receive(&mut self, now: Time, asked: Time, grant: &Grant) {
+        let Some(purse) = self.purses.get_mut(&grant.organisation) else { return };
+        if purse.debt.is_some_and(|at| at <= asked) {
+            purse.debt = None;
+        }
+        let expires = asked + self.rule.grant_lifetime();
+        if grant.requests > 0 && expires > now {
+            purse.grants.push_back((expires, grant.requests));
+            purse.short_until = Time(0);
+        }
+        if grant.wait_ms > 0 {
+            let wait = Duration::from_millis(grant.wait_ms.into());
+            purse.next = now + wait;
+            purse.short_until = now + wait.min(MAX_SHORTAGE);
+        }
+    }
+}
--- a/crates/dispatch/tests/suite/main.rs
+++ b/crates/dispatch/tests/suite/main.rs
@@ -10,6 +10,7 @@
 mod merge;
 mod overload;
 mod quarantine;
+mod quota;
 mod rate_limits;
 mod reach;
 mod relay;
--- a/crates/dispatch/tests/suite/support/mod.rs
+++ b/crates/dispatch/tests/suite/support/mod.rs
@@ -1,6 +1,7 @@
 //! Fixtures for the tests: leafs, routes, responses and a request with its context.
 
 pub mod load;
+pub mod quotas;
 
 use std::sync::Arc;
 use std::time::Duration;
