--- a/crates/testkit/src/gateway/site.rs
+++ b/crates/testkit/src/gateway/site.rs
@@ -49,6 +49,8 @@
     pub nodes: Vec<Node>,
     /// Address of the store.
     pub store: SocketAddr,
+    /// The setting `quotas` of nodes that are started; null for none.
+    pub quotas: Value,
     program: PathBuf,
     folder: PathBuf,
     started: usize,
@@ -83,6 +85,7 @@
         Site {
             nodes: Vec::new(),
             store,
+            quotas: Value::Null,
             program: program.into(),
             folder,
             started: 0,
@@ -232,6 +235,7 @@
             "extra": {"ratio": 0.2, "floor": 1_000.0, "window_s": 10},
             "capacity": {"cores": 1.0, "link_mbps": 1_000.0},
             "stop": {"grace_s": 4},
+            "quotas": self.quotas,
         });
         let file = self.folder.join(format!("{name}.jsonc"));
         fs::write(&file, settings.to_string()).expect("settings can be written");
