Keep organisations within their quotas at all nodes together

Cause: the decisions of `dispatch::quota` had no I/O.

Change: `src/gateway/quotas.rs` holds the state of a node behind a lock of its own, and lets a request wait for a grant for 15 ms at most. `src/gateway/peers/quotas.rs` exchanges messages, in two new variants at the end of `Datagram`; an old build drops them. A request over the quota gets 429 and a `Retry-After` that is spread over one to ten seconds (`reason=over_quota`), which `explain` and `losses` name. A request that is served on behalf of another node is counted only where the caller sent it. Without the setting `quotas`, nothing is exchanged or refused.

--- a/crates/dispatch/src/gossip.rs
+++ b/crates/dispatch/src/gossip.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::quarantine;
+use crate::quota;
 use crate::roster::Heartbeat;
 
 /// Age from which on a row is observed and spread anew.
@@ -68,6 +69,10 @@
     Gossip(Vec<Row>),
     /// Crashes of leafs, and answers, that are new to the sender.
     Quarantine(Vec<quarantine::Row>),
+    /// What the sender wants of organisations' quotas.
+    QuotaAsk(quota::Ask),
+    /// What the sender grants.
+    QuotaReply(quota::Reply),
 }
 
 /// Key of a row: the route and the timeout, in milliseconds.
--- a/src/gateway/callers/mod.rs
+++ b/src/gateway/callers/mod.rs
@@ -159,6 +159,9 @@
     if let Some(remaining) = hub.tables().quarantine.admit(hub.now(), outbound.fingerprint) {
         return Err(Rejection::Quarantined(remaining));
     }
+    if let Some(organisation) = &outbound.organisation {
+        hub.quotas.admit(organisation).await.map_err(Rejection::OverQuota)?;
+    }
     let service = match &route.target {
         Target::Split(shares) => hub.tables().statistics(route).selector.next(shares),
         Target::Service(_) | Target::Gather(_) => None,
--- a/src/gateway/callers/request.rs
+++ b/src/gateway/callers/request.rs
@@ -19,7 +19,7 @@
 
 use super::Caller;
 use super::identity::Identity;
-use super::response::{refusal, text, unauthorized};
+use super::response::{over_quota, refusal, text, unauthorized};
 use crate::gateway::audit;
 use crate::gateway::hub::Hub;
 use crate::gateway::leafs::{self, Outbound};
@@ -91,6 +91,8 @@
     Incomplete,
     /// The request has crashed leafs, and may be tried again after this time.
     Quarantined(Duration),
+    /// The caller's organisation has used up its quota, and may try again after this time.
+    OverQuota(Duration),
 }
 
 impl Rejection {
@@ -105,6 +107,7 @@
             Rejection::TooLarge => "too_large",
             Rejection::Incomplete => "incomplete",
             Rejection::Quarantined(_) => "quarantined",
+            Rejection::OverQuota(_) => "over_quota",
         }
     }
 
@@ -118,6 +121,7 @@
             Rejection::NoId => text(StatusCode::BAD_REQUEST, "the request has no id\n"),
             Rejection::TooLarge => text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"),
             Rejection::Quarantined(remaining) => refusal(remaining),
+            Rejection::OverQuota(retry_after) => over_quota(retry_after),
             Rejection::Incomplete => {
                 text(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n")
             }
--- a/src/gateway/callers/response.rs
+++ b/src/gateway/callers/response.rs
@@ -43,7 +43,21 @@
 
 /// Returns the refusal of a request that has not run, with the time to come back.
 pub(super) fn refusal(retry_after: Duration) -> Response<Full<Bytes>> {
-    let mut response = text(StatusCode::SERVICE_UNAVAILABLE, "not run; come back later\n");
+    retry_later(StatusCode::SERVICE_UNAVAILABLE, "not run; come back later\n", retry_after)
+}
+
+/// Returns the refusal of a request whose organisation has used up its quota.
+pub(super) fn over_quota(retry_after: Duration) -> Response<Full<Bytes>> {
+    let reason = "not run; the organisation's quota is used up\n";
+    retry_later(StatusCode::TOO_MANY_REQUESTS, reason, retry_after)
+}
+
+fn retry_later(
+    status: StatusCode,
+    reason: &'static str,
+    retry_after: Duration,
+) -> Response<Full<Bytes>> {
+    let mut response = text(status, reason);
     let seconds = format!("{:.3}", retry_after.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         response.headers_mut().insert(RETRY_AFTER, value);
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -38,6 +38,7 @@
 use super::connection::{Received, Sender};
 use super::peers::relay::Links;
 use super::pool::{self, DEFAULT_IDLE_TIMEOUT, Pool};
+use super::quotas::Gate;
 use super::settings::Settings;
 use super::tables::{INITIAL_LAG, Meter, Shared, Tables};
 
@@ -69,6 +70,8 @@
     pub pool: Pool,
     /// Connections to nodes that serve requests on behalf of this one.
     pub relays: Links,
+    /// Quotas of organisations.
+    pub quotas: Gate,
     /// Latest version of the configuration under which a request of this node was served, here or
     /// by another node.
     pub(super) latest_served: AtomicU64,
@@ -144,6 +147,7 @@
             phase: Phase::Starting,
         };
         Hub {
+            quotas: Gate::open(settings.quotas.as_ref(), &own.name, started),
             settings,
             own,
             pool: Pool::default(),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -7,6 +7,7 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
 use super::hub::Hub;
+use super::quotas;
 
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKETS_SECONDS: [f64; 12] =
@@ -92,6 +93,7 @@
         "jacinthfall_rate_limit_share",
         "Share of this node in the rate limits that leafs state"
     );
+    quotas::describe();
     describe_gauge!("jacinthfall_nodes", "Nodes that share the bound on extra sends");
     describe_gauge!("jacinthfall_nodes_known", "Nodes that this node knows, itself included");
     describe_gauge!("jacinthfall_requests_in_hand", "Requests without an answer yet");
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 pub mod peers;
 pub mod pool;
 pub mod probes;
+pub mod quotas;
 pub mod reach;
 pub mod settings;
 pub mod stop;
--- a/src/gateway/peers/heartbeats.rs
+++ b/src/gateway/peers/heartbeats.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
 
+use super::quotas;
 use crate::gateway::hub::{Hub, MAX_WATCH_LAG};
 
 /// Interval between two heartbeats.
@@ -127,7 +128,7 @@
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut behind_since: Option<Time> = None;
     loop {
-        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
             tokio::time::sleep(HEARTBEAT_INTERVAL).await;
             continue;
         };
@@ -144,6 +145,14 @@
                 hub.merge_quarantine(&rows);
                 continue;
             }
+            Ok((Datagram::QuotaAsk(ask), _)) => {
+                quotas::answer(&hub, &socket, &ask, from);
+                continue;
+            }
+            Ok((Datagram::QuotaReply(reply), _)) => {
+                hub.quotas.receive_reply(&reply);
+                continue;
+            }
             Err(_) => {
                 log::warn!("event=heartbeat_unreadable bytes={length}");
                 continue;
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod exchange;
 mod heartbeats;
+mod quotas;
 pub mod relay;
 
 use std::io;
@@ -175,6 +176,7 @@
         let socket = Arc::new(self.datagrams);
         let (exchanges, requested) = mpsc::channel(1);
         tokio::spawn(heartbeats::send(Arc::clone(&hub), Arc::clone(&socket)));
+        tokio::spawn(quotas::run(Arc::clone(&hub), Arc::clone(&socket)));
         tokio::spawn(heartbeats::receive(Arc::clone(&hub), socket, exchanges));
         tokio::spawn(configuration::follow(Arc::clone(&hub)));
         tokio::spawn(exchange::catch_up(hub, requested));
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -6,6 +6,7 @@
 
 use jacinthfall_core::id;
 use jacinthfall_dispatch::budget;
+use jacinthfall_dispatch::quota;
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, DurationSeconds, serde_as};
 
@@ -41,6 +42,9 @@
     pub capacity: Capacity,
     /// Planned stops.
     pub stop: Stop,
+    /// Rule that quotas of organisations are kept by; they aren't limited if omitted.
+    #[serde(default)]
+    pub quotas: Option<Quotas>,
     /// Listener for metrics collectors, at the path `/metrics`; none if omitted.
     #[serde(default)]
     pub metrics: Option<Listener>,
@@ -134,6 +138,28 @@
     pub grace: Duration,
 }
 
+/// Rule that quotas of organisations are kept by: in every window, an organisation's requests at
+/// all nodes stay within its quota and the room that is stated here.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Quotas {
+    /// Length of the window, in seconds.
+    pub window_s: f64,
+    /// Share by which the quota may be exceeded.
+    pub overage: f64,
+    /// Number of requests by which it may be exceeded besides.
+    pub slack: f64,
+}
+
+impl Quotas {
+    /// Returns the rule.
+    #[must_use]
+    pub fn rule(&self) -> quota::Rule {
+        let window = Duration::from_secs_f64(self.window_s);
+        quota::Rule { window, overage: self.overage, slack: self.slack }
+    }
+}
+
 const fn default_hold() -> Duration {
     Duration::from_secs(1)
 }
@@ -196,6 +222,15 @@
         value(capacity.cores > 0.0, "capacity.cores", positive, &capacity.cores)?;
         value(capacity.link_mbps > 0.0, "capacity.link_mbps", positive, &capacity.link_mbps)?;
         let at_least_one = "1 or more is needed";
+        if let Some(Quotas { window_s, overage, slack }) = &self.quotas {
+            let window = "1 to 3600 seconds are allowed";
+            value((1.0..=3_600.0).contains(window_s), "quotas.window_s", window, window_s)?;
+            // Grants must last for as long as a message takes on its way.
+            let share = "0.02 to 1 is allowed";
+            value((0.02..=1.0).contains(overage), "quotas.overage", share, overage)?;
+            let requests = "5 to 10000 requests are allowed";
+            value((5.0..=10_000.0).contains(slack), "quotas.slack", requests, slack)?;
+        }
         value(!extra.window.is_zero(), "extra.window_s", at_least_one, &extra.window.as_secs())?;
         let seeds = self.peers.seeds.split(',').map(str::trim).filter(|seed| !seed.is_empty());
         for seed in seeds {
--- a/src/ops/explain/render.rs
+++ b/src/ops/explain/render.rs
@@ -312,6 +312,10 @@
         }
         "bad_key" => "it has several keys, or one that is empty or not text; fix the caller.",
         "no_id" => "the request has no id; fix the caller.",
+        "over_quota" => {
+            "its organisation has used up its quota over all nodes (429); it has not run. Raise \
+             the organisation's `rate-per-s` or `burst`, or slow the caller down."
+        }
         "too_large" => "the body exceeds the limit in the configuration.",
         _ => "the body did not arrive in time or was incomplete; check the caller.",
     }
--- a/src/ops/losses/cause.rs
+++ b/src/ops/losses/cause.rs
@@ -52,6 +52,8 @@
     NoKey,
     /// No organisation has the request's key.
     UnknownKey,
+    /// The organisation of the caller had used up its quota.
+    OverQuota,
     /// The request was not acceptable.
     Rejected,
     /// The lines don't show it.
@@ -83,6 +85,7 @@
             Cause::NodeStarting => "node starting",
             Cause::NoKey => "no key",
             Cause::UnknownKey => "unknown key",
+            Cause::OverQuota => "over quota",
             Cause::Rejected => "not acceptable",
             Cause::Unknown => "unknown",
         }
--- a/src/ops/losses/mod.rs
+++ b/src/ops/losses/mod.rs
@@ -234,6 +234,7 @@
             "starting" => (Loss::Refused, Cause::NodeStarting),
             "no_key" => (Loss::Failed, Cause::NoKey),
             "unknown_key" => (Loss::Failed, Cause::UnknownKey),
+            "over_quota" => (Loss::Refused, Cause::OverQuota),
             _ => (Loss::Failed, Cause::Rejected),
         };
         if let Some(stretch) = self.stretch(line, "-") {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod organisations;
 mod output;
 mod quarantine;
+mod quotas;
 mod rate_limits;
 mod relay;
 mod restore;
