Describe quotas, log refusals by organisation and check implausible messages

Cause: operators couldn't tell from the log which organisation was over its quota, and nothing tested messages that come twice or that no node would send.

Change: `event=over_quota` names the organisation, every ten seconds at most. Nodes that callers don't use no longer ask silent nodes each second. Tests of doubled, outdated and implausible messages, of credit, of `explain` and `losses`, and of the bytes that nodes send.

--- a/crates/dispatch/src/quota/contacts.rs
+++ b/crates/dispatch/src/quota/contacts.rs
@@ -123,7 +123,8 @@
     /// next one too while the first has few votes.
     pub fn poll(&mut self, now: Time, own: &id::Name, wants: Vec<Want>) -> Vec<Due> {
         let is_idle = wants.is_empty() && !self.is_elector && self.voted.is_none();
-        if is_idle && self.contacts.values().all(|contact| contact.unanswered.is_none()) {
+        let is_settled = |contact: &Contact| contact.unanswered.is_none() || contact.is_silent;
+        if is_idle && self.contacts.values().all(is_settled) {
             return Vec::new();
         }
         self.contacts.values_mut().for_each(|contact| contact.check(now));
--- a/crates/dispatch/tests/suite/quota.rs
+++ b/crates/dispatch/tests/suite/quota.rs
@@ -3,6 +3,9 @@
 use std::time::Duration;
 
 use jacinthfall_core::time::Time;
+use jacinthfall_dispatch::quota::{
+    Ask, Decision, GROUPS, Limit, MAX_WAIT, Organisation, Quotas, Reply, Rule, Vote, Want,
+};
 use jacinthfall_route::organisation::Quota;
 use rand::Rng;
 use rand::seq::IteratorRandom;
@@ -216,8 +219,7 @@
     }
 }
 
-/// Guards against control traffic that small nodes can't carry. A message of few organisations
-/// has up to 100 bytes.
+/// Guards against control traffic that small nodes can't carry.
 #[test]
 fn nodes_exchange_few_messages() {
     for (nodes, callers) in [(8, 8), (76, 8), (300, 30)] {
@@ -225,8 +227,111 @@
 
         world.run(at(12.0));
 
-        let rate = world.messages as f64 / 12.0 / nodes as f64;
-        println!("{nodes} nodes: {rate} messages sent per node and second");
-        assert!(rate <= 170.0, "{nodes} nodes: {rate} messages sent per node and second");
+        let node_seconds = 12.0 * nodes as f64;
+        let messages = world.messages as f64 / node_seconds;
+        let bytes = world.bytes as f64 / node_seconds;
+        let most = *world.sent_bytes.iter().max().expect("some nodes") as f64 / 12.0;
+        println!("{nodes} nodes: {messages} messages, {bytes} bytes/s, {most} bytes/s at most");
+        assert!(messages <= 170.0, "{nodes} nodes: {messages} messages per node and second");
+        assert!(most <= 17_000.0, "{nodes} nodes: {most} bytes/s sent by one node");
     }
 }
+
+const RULE: Rule = Rule { window: WINDOW, overage: 0.1, slack: 20.0 };
+
+/// Returns a node that has granted for seconds, alone, to an organisation of a hundred requests a
+/// second, with the time.
+fn granting_node() -> (Quotas, Organisation, Time) {
+    let bank = Organisation::of("bank");
+    let mut node = Quotas::open(RULE, "a".into(), 1);
+    node.set_members(Time(0), vec!["a".into()], 1);
+    let quota = Quota { rate_per_s: 100.0, burst: 0.0 };
+    node.set_quotas(Time(0), [(bank, quota)].into());
+    let mut now = Time(0);
+    while now < at(4.0) {
+        now = now + Duration::from_millis(20);
+        for (_, ask) in node.poll(now) {
+            let reply = node.receive_ask(now, &ask).expect("its own message");
+            assert!(node.receive_reply(now, &reply));
+        }
+    }
+    (node, bank, now)
+}
+
+fn ask(bank: Organisation, number: u64, requests: u16) -> Ask {
+    let limit = Limit { rate: 100_000, burst: 0 };
+    let want = Want { organisation: bank, requests, has_debt: false, limit };
+    let group = bank.group();
+    Ask { group, node: "b".into(), started: 1, number, vote: None, wants: vec![want] }
+}
+
+/// Guards against grants of messages that come twice or late.
+#[test]
+fn a_message_is_granted_once() {
+    let (mut node, bank, now) = granting_node();
+
+    let first = node.receive_ask(now, &ask(bank, 2, 3)).expect("a reply");
+    let second = node.receive_ask(now, &ask(bank, 2, 3));
+    let earlier = node.receive_ask(now, &ask(bank, 1, 3));
+
+    assert_eq!(first.grants[0].requests, 3);
+    assert!(second.is_none() && earlier.is_none(), "{second:?} {earlier:?}");
+}
+
+/// Guards against a peer that sends what no node of this build would.
+#[test]
+fn implausible_messages_grant_nothing_more() {
+    let (mut node, bank, now) = granting_node();
+    let foreign = Ask { group: GROUPS, ..ask(bank, 1, 1) };
+    let other = Ask { group: (bank.group() + 1) % GROUPS, ..ask(bank, 1, 1) };
+    let mut repeated = ask(bank, 2, u16::MAX);
+    repeated.wants = vec![repeated.wants[0]; 10_000];
+    let mut zero = ask(bank, 3, 1);
+    zero.wants[0].limit.rate = 0;
+    // Neither an elector nor a clock that this node can have stated.
+    let vote = Some(Vote { started: 1, clock: u64::MAX });
+    let voter = Ask { vote, ..ask(bank, 4, 1) };
+
+    assert!(node.receive_ask(now, &foreign).is_none());
+    assert!(node.receive_ask(now, &other).expect("a reply").grants.is_empty());
+    let reply = node.receive_ask(now, &repeated).expect("a reply");
+    let granted: u32 = reply.grants.iter().map(|grant| u32::from(grant.requests)).sum();
+    assert!(granted <= 30, "{granted} requests");
+    assert!(node.receive_ask(now, &zero).expect("a reply").grants.is_empty());
+    assert!(node.receive_ask(now, &voter).is_some());
+    assert!(node.coverage(now).iter().all(|coverage| *coverage <= 1.0));
+}
+
+/// Guards against a reply that is counted twice, or that no message asked for.
+#[test]
+fn a_reply_is_counted_once() {
+    let (mut node, bank, now) = granting_node();
+    let quota = Quota { rate_per_s: 100.0, burst: 0.0 };
+    assert_eq!(node.request(now, bank, &quota), Decision::Wait);
+    let due = node.poll(now);
+    let asks: Vec<&Ask> = due.iter().map(|(_, ask)| ask).collect();
+    let wanted = asks.iter().find(|ask| !ask.wants.is_empty()).expect("a need");
+    let reply = node.receive_ask(now, wanted).expect("a reply");
+
+    assert!(node.receive_reply(now, &reply));
+    assert!(!node.receive_reply(now, &reply));
+    let unasked = Reply { number: 1_000_000, ..reply };
+    assert!(!node.receive_reply(now, &unasked));
+
+    assert_eq!(node.retry(now, bank, now), Decision::Admit);
+    assert_eq!(node.request(now, bank, &quota), Decision::Wait, "one request was granted");
+}
+
+/// Guards against a refusal for a granting node that was late once, and against credit without
+/// end.
+#[test]
+fn one_request_is_made_on_credit_when_no_grant_arrives() {
+    let (mut node, bank, now) = granting_node();
+    let quota = Quota { rate_per_s: 100.0, burst: 0.0 };
+    let late = now + MAX_WAIT;
+
+    assert_eq!(node.request(now, bank, &quota), Decision::Wait);
+    assert_eq!(node.retry(late, bank, now), Decision::Admit);
+    assert_eq!(node.request(now, bank, &quota), Decision::Wait);
+    assert!(matches!(node.retry(late, bank, now), Decision::Refuse(_)));
+}
--- a/crates/dispatch/tests/suite/support/quotas.rs
+++ b/crates/dispatch/tests/suite/support/quotas.rs
@@ -6,6 +6,7 @@
 
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
+use jacinthfall_dispatch::gossip::Datagram;
 use jacinthfall_dispatch::quota::{Ask, Decision, MAX_WAIT, Organisation, Quotas, Reply, Rule};
 use jacinthfall_route::organisation::Quota;
 use rand::{Rng, SeedableRng};
@@ -96,6 +97,10 @@
     pub customers: Vec<Customer>,
     pub ended: Vec<Vec<Ended>>,
     pub messages: u64,
+    /// Size of all messages.
+    pub bytes: u64,
+    /// Size of the messages that each node has sent.
+    pub sent_bytes: Vec<u64>,
     pub rng: ChaCha8Rng,
     nodes: Vec<Node>,
     /// Nodes that callers use.
@@ -120,6 +125,8 @@
             customers: customers.to_vec(),
             ended: vec![Vec::new(); customers.len()],
             messages: 0,
+            bytes: 0,
+            sent_bytes: vec![0; nodes],
             rng,
             nodes: Vec::new(),
             callers: (0..callers).collect(),
@@ -180,7 +187,9 @@
         self.set_members(index);
         self.schedule(now, Event::Poll(index, process));
         self.schedule(now + SETTLING_TIME, Event::Members(index, process));
-        self.announce();
+        if now > Time(0) {
+            self.announce();
+        }
     }
 
     pub fn kill(&mut self, index: usize) {
@@ -325,7 +334,16 @@
         if from == to {
             return self.handle(event);
         }
+        let datagram = match &event {
+            Event::Ask(_, ask) => Datagram::QuotaAsk(ask.clone()),
+            Event::Reply(_, _, reply) => Datagram::QuotaReply(reply.clone()),
+            other => panic!("{other:?} isn't a message"),
+        };
+        let encoded = bincode::serde::encode_to_vec(datagram, bincode::config::standard());
+        let size = encoded.expect("plain").len() as u64;
         self.messages += 1;
+        self.bytes += size;
+        self.sent_bytes[from] += size;
         let is_cut = self.nodes[from].is_cut_off || self.nodes[to].is_cut_off;
         let network = self.network;
         if is_cut || self.rng.random_bool(network.lost) {
--- a/src/gateway/quotas.rs
+++ b/src/gateway/quotas.rs
@@ -13,7 +13,7 @@
     Ask, Decision, MAX_WAIT, Organisation as Key, Outbox, Quotas, Reply,
 };
 use jacinthfall_net::clock::Clock;
-use jacinthfall_route::organisation::Organisation;
+use jacinthfall_route::organisation::{Organisation, Quota};
 use jacinthfall_route::snapshot::Snapshot;
 use metrics::{counter, describe_counter, describe_gauge, describe_histogram, gauge, histogram};
 use rand::{Rng, SeedableRng};
@@ -37,6 +37,9 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 const WAITING_INTERVAL: Duration = Duration::from_millis(4);
 
+/// Minimum time between two lines about refusals of one organisation.
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Coverage from which on this node grants on behalf of most nodes.
 const MOST: f64 = 0.5;
 
@@ -52,6 +55,21 @@
     version: Option<u64>,
     /// Groups that this node grants on behalf of most nodes.
     granting: Vec<bool>,
+    /// Refusals by organisation since the latest line about it, and when that was written.
+    refusals: HashMap<Key, (u64, Option<Time>)>,
+}
+
+impl State {
+    /// Counts a refusal. Returns the number to be logged if a line about the organisation is due.
+    fn count_refusal(&mut self, now: Time, key: Key) -> Option<u64> {
+        let (count, logged) = self.refusals.entry(key).or_default();
+        *count += 1;
+        if logged.is_some_and(|at| now.since(at) < LOG_INTERVAL) {
+            return None;
+        }
+        *logged = Some(now);
+        Some(std::mem::take(count))
+    }
 }
 
 /// State of this node with regard to quotas. Admits everything if the settings have none.
@@ -106,6 +124,7 @@
                 waiting: 0,
                 version: None,
                 granting: Vec::new(),
+                refusals: HashMap::new(),
             })
         });
         Gate {
@@ -142,6 +161,14 @@
         let Decision::Refuse(wait) = decision else { return Ok(()) };
         counter!("jacinthfall_over_quota_total", "organisation" => organisation.name.clone())
             .increment(1);
+        if let Some(refused) = lock(state).count_refusal(self.clock.time(), key) {
+            log::info!(
+                "event=over_quota organisation={} refused={refused} per_second={} burst={}",
+                organisation.name,
+                quota.rate_per_s,
+                quota.burst
+            );
+        }
         let spread = Duration::try_from_secs_f64(2.0 / quota.rate_per_s).unwrap_or(MAX_SPREAD);
         let spread = spread.clamp(MIN_SPREAD, MAX_SPREAD);
         let share: f64 = lock(state).rng.random();
@@ -228,7 +255,9 @@
             let quotas = organisations.filter_map(|organisation| {
                 Some((Key::of(&organisation.name), organisation.quota?))
             });
-            state.quotas.set_quotas(now, quotas.collect::<HashMap<_, _>>());
+            let quotas: HashMap<Key, Quota> = quotas.collect();
+            state.refusals.retain(|key, _| quotas.contains_key(key));
+            state.quotas.set_quotas(now, quotas);
         }
         let coverage = state.quotas.coverage(now);
         state.granting.resize(coverage.len(), false);
--- a/tests/gateway/quotas.rs
+++ b/tests/gateway/quotas.rs
@@ -8,6 +8,7 @@
 use jacinthfall_testkit::gateway::site::{Request, Site, metric, route, serving_leaf, wait_for};
 use serde_json::json;
 
+use crate::explain::{command, stdout, stop_and_read_log_of};
 use crate::support::open;
 
 /// Window, overage and slack of the rule.
@@ -157,6 +158,22 @@
     assert!(times.len() > 50, "{} different times to retry", times.len());
 }
 
+/// Guards against refusals that operators can't explain, and against keys in the log.
+#[test]
+fn a_request_over_the_quota_is_explained_by_the_log() {
+    let (mut site, _leaf) = three_nodes();
+    let answers = load(&site, &[("bank", 0, 100.0)], Duration::from_secs(1));
+    let refused = answers.iter().find(|answer| answer.status == 429).expect("bank has too much");
+
+    let log = stop_and_read_log_of(&mut site, 0);
+
+    let explained = stdout(&command(&["explain", &refused.id], &log));
+    assert!(explained.contains("used up its quota over all nodes"), "{explained}");
+    assert!(log.contains("event=over_quota organisation=bank"), "{log}");
+    assert!(log.contains("reason=over_quota"), "{log}");
+    assert!(!log.contains("key-bank"), "a key is in the log");
+}
+
 /// Guards against a quota that is granted twice, or no more, when the granting node is lost.
 #[test]
 fn the_quota_outlives_the_node_that_grants_it() {
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -73,6 +73,16 @@
     }
 }
 
+/// Guards against refusals of an organisation's excess that look like failures of this tier.
+#[test]
+fn a_request_over_the_quota_is_told_apart() {
+    let log = line(3, "event=rejected id=\"r-1\" status=429 reason=over_quota");
+
+    let report = read(&[("n-1", &log)]);
+
+    assert_eq!(only_cause(&report), (Loss::Refused, Cause::OverQuota));
+}
+
 #[test]
 fn losses_without_a_line_are_counted_from_the_summaries_of_all_nodes() {
     let traffic =
