Grant quotas also while nodes disagree on who grants

Cause: those nodes asked a candidate that had one vote of 24, as they didn't know the node that had the others: in a large deployment nodes of other zones are heard every few seconds, and a node that isn't known from the store is forgotten after ten. The answer that nothing is left refused the request while the other node would have granted it.

Requests that nobody answered come back within 100 ms in place of seconds.

--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -22,10 +22,12 @@
 
 mod contacts;
 mod ledger;
+mod members;
 mod wallet;
 
 pub use contacts::Contacts;
 pub use ledger::Ledger;
+pub use members::Members;
 pub use wallet::{Decision, Wallet};
 
 /// Number of groups of organisations; the same at all nodes.
@@ -43,6 +45,9 @@
 /// Time for which a node may make requests on credit.
 pub const CREDIT_TIME: Duration = Duration::from_secs(2);
 
+/// Coverage, in thousandths, from which on a reply tells that nothing is left.
+const MOST_COVERAGE: u16 = 500;
+
 /// Maximum number of organisations in one message, so that it fits into a datagram.
 pub const MAX_ROWS: usize = 64;
 
@@ -348,9 +353,11 @@
         if reply.has_credit {
             self.wallet.set_credit(reply.group, sent + CREDIT_TIME);
         }
+        // A node with few votes has little to grant, and another one may have more.
+        let covers_most = reply.coverage >= MOST_COVERAGE;
         for grant in reply.grants.iter().take(MAX_ROWS) {
             if grant.organisation.group() == reply.group {
-                self.wallet.receive(now, sent, grant);
+                self.wallet.receive(now, sent, grant, covers_most);
             }
         }
         true
--- a/crates/dispatch/src/quota/wallet.rs
+++ b/crates/dispatch/src/quota/wallet.rs
@@ -53,6 +53,8 @@
     debt: Option<Time>,
     /// Until when nothing is left, according to the latest reply.
     short_until: Time,
+    /// Until when a node with few votes had nothing left, so that there is no credit.
+    no_credit_until: Time,
     /// When a further request may be granted, according to the latest reply.
     next: Time,
     /// Number of requests in the current interval.
@@ -73,6 +75,7 @@
             waiting: 0,
             debt: None,
             short_until: Time(0),
+            no_credit_until: Time(0),
             next: Time(0),
             count: 0,
             interval_began: Time(0),
@@ -120,7 +123,7 @@
             Decision::Refuse(self.next.since(now))
         } else if now.since(arrived) < MAX_WAIT {
             Decision::Wait
-        } else if has_credit && self.debt.is_none() {
+        } else if has_credit && self.debt.is_none() && now >= self.no_credit_until {
             self.debt = Some(now);
             Decision::Admit
         } else {
@@ -241,8 +244,9 @@
     }
 
     /// Records a grant that was asked for at `asked`. It expires from then on, since it was
-    /// made later.
-    pub fn receive(&mut self, now: Time, asked: Time, grant: &Grant) {
+    /// made later. `covers_most` tells whether it comes from a node that grants on behalf of most
+    /// nodes: one with few votes has little to grant while another one may have more.
+    pub fn receive(&mut self, now: Time, asked: Time, grant: &Grant, covers_most: bool) {
         let Some(purse) = self.purses.get_mut(&grant.organisation) else { return };
         if purse.debt.is_some_and(|at| at <= asked) {
             purse.debt = None;
@@ -254,8 +258,13 @@
         }
         if grant.wait_ms > 0 {
             let wait = Duration::from_millis(grant.wait_ms.into());
-            purse.next = now + wait;
-            purse.short_until = now + wait.min(MAX_SHORTAGE);
+            let shortage_ends = now + wait.min(MAX_SHORTAGE);
+            if covers_most {
+                purse.next = now + wait;
+                purse.short_until = shortage_ends;
+            } else {
+                purse.no_credit_until = shortage_ends;
+            }
         }
     }
 }
--- a/src/gateway/peers/quotas.rs
+++ b/src/gateway/peers/quotas.rs
@@ -8,7 +8,7 @@
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::gossip::Datagram;
-use jacinthfall_dispatch::quota::{Ask, Outbox};
+use jacinthfall_dispatch::quota::{Ask, Members, Outbox};
 use jacinthfall_dispatch::roster::Phase;
 use metrics::counter;
 use tokio::net::UdpSocket;
@@ -26,20 +26,20 @@
     if !hub.quotas.is_enabled() {
         return;
     }
-    let mut updated = None;
+    let (mut updated, mut members) = (None, Members::default());
     loop {
         let now = hub.now();
         if updated.is_none_or(|at| now.since(at) >= UPDATE_INTERVAL) {
             updated = Some(now);
-            update(&hub, now);
+            update(&hub, &mut members, now);
         }
         send(&hub, &socket, hub.quotas.poll());
         hub.quotas.due().await;
     }
 }
 
-fn update(hub: &Hub, now: Time) {
-    let members: Vec<id::Name> = {
+fn update(hub: &Hub, members: &mut Members, now: Time) {
+    let known: Vec<id::Name> = {
         let tables = hub.tables();
         let members = tables.roster.members().filter(|member| member.phase != Phase::Leaving);
         let own = (tables.phase != Phase::Leaving).then(|| hub.own.name.clone());
@@ -47,7 +47,7 @@
     };
     let is_settled = now.since(Time(0)) >= SETTLING_TIME;
     let min_nodes = if is_settled { 1 } else { MIN_ASSUMED_NODES };
-    hub.quotas.update(members, min_nodes, hub.snapshot().as_deref());
+    hub.quotas.update(members.update(now, known), min_nodes, hub.snapshot().as_deref());
 }
 
 fn send(hub: &Hub, socket: &UdpSocket, outbox: Outbox) {
--- a/src/gateway/quotas.rs
+++ b/src/gateway/quotas.rs
@@ -27,6 +27,10 @@
 /// Time over which the retries of refused callers are spread at least.
 const MIN_SPREAD: Duration = Duration::from_secs(1);
 
+/// Time over which the retries of callers are spread that were refused since no node has granted
+/// anything in time.
+const UNANSWERED_SPREAD: Duration = Duration::from_millis(100);
+
 /// Time over which they are spread at most.
 const MAX_SPREAD: Duration = Duration::from_secs(10);
 
@@ -171,6 +175,7 @@
         }
         let spread = Duration::try_from_secs_f64(2.0 / quota.rate_per_s).unwrap_or(MAX_SPREAD);
         let spread = spread.clamp(MIN_SPREAD, MAX_SPREAD);
+        let spread = if wait.is_zero() { UNANSWERED_SPREAD } else { spread };
         let share: f64 = lock(state).rng.random();
         Err(wait + spread.mul_f64(share))
     }
