--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -120,7 +120,7 @@
     /// Returns the number of requests that a bucket holds when a process first grants on behalf of
     /// most nodes, so that an organisation with a low limit isn't refused for seconds.
     fn initial_requests(&self) -> f64 {
-        0.1 * self.slack
+        0.2 * self.slack
     }
 }
 
--- a/crates/dispatch/tests/suite/quota.rs
+++ b/crates/dispatch/tests/suite/quota.rs
@@ -131,6 +131,13 @@
     world.assert_rule(&format!("{nodes} nodes, seed {seed}"));
 }
 
+/// Guards against a node that was the only one, is cut off, and doesn't know that others start
+/// (seed 14).
+#[test]
+fn the_rule_holds_with_failures_of_3_nodes() {
+    (0..20).for_each(|seed| check_rule_with_failures(3, 3, 0.7, 30.0, seed));
+}
+
 /// Guards against grants that are made twice: by two nodes whose views differ, after pauses,
 /// by messages that come twice or late.
 #[test]
@@ -195,6 +202,28 @@
     }
 }
 
+/// Guards against two parts of a site that each grant the whole quota, and against parts that
+/// grant too little together.
+#[test]
+fn parts_of_a_site_share_the_quota() {
+    for (nodes, callers) in [(8, 8), (76, 8)] {
+        let mut world = World::open(nodes, callers, &customers(8.0), 1);
+        world.run(WARM);
+        (0..nodes).for_each(|index| world.set_side(index, index % 2));
+        world.run(at(20.0));
+        let parted: Vec<usize> = (0..7).map(|index| world.counts(index, at(12.0)).0).collect();
+        (0..nodes).for_each(|index| world.set_side(index, 0));
+        world.run(at(30.0));
+
+        world.assert_rule("with two parts");
+        for (customer, admitted) in world.customers.iter().zip(parted) {
+            let share = admitted as f64 / (customer.quota.rate_per_s * 8.0);
+            let least = if customer.quota.rate_per_s >= 20.0 { 0.9 } else { 0.0 };
+            assert!(share >= least, "{nodes} nodes: {share} of {customer:?}");
+        }
+    }
+}
+
 /// Guards against buckets and grants of a higher limit that outlive it.
 #[test]
 fn a_lower_limit_is_binding_one_window_after_it_is_in_force_everywhere() {
--- a/crates/dispatch/tests/suite/support/quotas.rs
+++ b/crates/dispatch/tests/suite/support/quotas.rs
@@ -81,8 +81,12 @@
     started: Time,
     is_running: bool,
     resumes: Time,
-    /// Whether it reaches no other node.
+    /// Whether it reaches neither the store nor any other node.
     is_cut_off: bool,
+    /// Nodes of different sides don't reach each other.
+    side: usize,
+    /// Names of the nodes that it knows.
+    members: Vec<id::Name>,
     quotas: Quotas,
     /// Limits of its configuration in force.
     limits: HashMap<Organisation, Quota>,
@@ -145,6 +149,8 @@
                 is_running: false,
                 resumes: Time(0),
                 is_cut_off: false,
+                side: 0,
+                members: Vec::new(),
                 limits: HashMap::new(),
                 waiting: Vec::new(),
                 next_poll: Time(0),
@@ -204,10 +210,15 @@
 
     pub fn set_cut_off(&mut self, index: usize, is_cut_off: bool) {
         self.nodes[index].is_cut_off = is_cut_off;
-        if !is_cut_off {
-            let process = self.nodes[index].process;
-            self.schedule(self.now, Event::Members(index, process));
-        }
+        // A node finds out a second later that nothing answers.
+        let delay = if is_cut_off { Duration::from_secs(1) } else { Duration::ZERO };
+        let process = self.nodes[index].process;
+        self.schedule(self.now + delay, Event::Members(index, process));
+    }
+
+    /// Cuts the nodes off from those of other sides.
+    pub fn set_side(&mut self, index: usize, side: usize) {
+        self.nodes[index].side = side;
     }
 
     pub fn is_running(&self, index: usize) -> bool {
@@ -237,8 +248,12 @@
         let names: Vec<id::Name> = names.map(|(node, _)| node.name.clone()).collect();
         let node = &mut self.nodes[index];
         let local = Time(self.now.0 - node.started.0);
+        if !node.is_cut_off {
+            node.members = names;
+        }
         let is_settled = local.since(Time(0)) >= SETTLING_TIME;
-        node.quotas.set_members(local, names, if is_settled { 1 } else { MIN_NODES });
+        let min_nodes = if is_settled && !node.is_cut_off { 1 } else { MIN_NODES };
+        node.quotas.set_members(local, node.members.clone(), min_nodes);
     }
 
     /// Runs until a time.
@@ -312,8 +327,8 @@
                 self.retry(index);
             }
             Event::Deadline(..) => self.retry(index),
-            Event::Members(..) if !node.is_cut_off => self.set_members(index),
-            Event::Members(..) | Event::Arrival(_) => {}
+            Event::Members(..) => self.set_members(index),
+            Event::Arrival(_) => {}
         }
     }
 
@@ -344,7 +359,8 @@
         self.messages += 1;
         self.bytes += size;
         self.sent_bytes[from] += size;
-        let is_cut = self.nodes[from].is_cut_off || self.nodes[to].is_cut_off;
+        let (sender, receiver) = (&self.nodes[from], &self.nodes[to]);
+        let is_cut = sender.is_cut_off || receiver.is_cut_off || sender.side != receiver.side;
         let network = self.network;
         if is_cut || self.rng.random_bool(network.lost) {
             return;
--- a/src/gateway/peers/quotas.rs
+++ b/src/gateway/peers/quotas.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bincode::config::standard;
@@ -39,14 +40,18 @@
 }
 
 fn update(hub: &Hub, members: &mut Members, now: Time) {
-    let known: Vec<id::Name> = {
+    let (known, hears_others) = {
         let tables = hub.tables();
+        let hears_others = tables.roster.members().any(|member| member.is_heard(now));
         let members = tables.roster.members().filter(|member| member.phase != Phase::Leaving);
         let own = (tables.phase != Phase::Leaving).then(|| hub.own.name.clone());
-        members.map(|member| member.node.name.clone()).chain(own).collect()
+        let members = members.map(|member| member.node.name.clone()).chain(own);
+        (members.collect::<Vec<id::Name>>(), hears_others)
     };
+    // A node without news doesn't know of those that have started meanwhile.
+    let has_news = hears_others || hub.store_answers.load(Ordering::Relaxed);
     let is_settled = now.since(Time(0)) >= SETTLING_TIME;
-    let min_nodes = if is_settled { 1 } else { MIN_ASSUMED_NODES };
+    let min_nodes = if is_settled && has_news { 1 } else { MIN_ASSUMED_NODES };
     hub.quotas.update(members.update(now, known), min_nodes, hub.snapshot().as_deref());
 }
 
