Test that a request served for another node isn't counted against the quota again

Cause: no test guarded the rule that a request counts where the caller sent it.

Measured: 30 queries of another node, of an organisation of 0.2 requests a second, are all served.

--- a/tests/gateway/relay.rs
+++ b/tests/gateway/relay.rs
@@ -16,10 +16,11 @@
 use jacinthfall_net::client::Client;
 use jacinthfall_testkit::gateway::leaf::Behaviour;
 use jacinthfall_testkit::gateway::site::{Request, gather, route, serving_leaf};
+use serde_json::json;
 
 use crate::cut_off::{Cut, SERVICES, queries};
 use crate::quarantine::{CRASHING, MAX_CRASHES, RESTART_TIME, late_runs, runs};
-use crate::support::serving;
+use crate::support::{open, serving};
 
 /// Returns the query of a node that asks for `GET /a/1`.
 pub fn query(version: u64) -> Query {
@@ -128,6 +129,31 @@
     assert_eq!(site.ask(0, &Request::default()).status, 200);
 }
 
+/// Guards against requests that both the node that the caller sent them to and the one that serves
+/// them count.
+#[test]
+fn a_query_of_another_node_is_not_counted_against_the_quota_again() {
+    let leaf = serving_leaf("i-1", b"ok");
+    let mut site = open();
+    site.tenants =
+        json!([{"name": "bank", "api-keys": ["key-bank"], "rate-per-s": 0.2, "burst": 0}]);
+    site.quotas = json!({"window_s": 5, "overage": 0.1, "slack": 20});
+    site.register("i-1", "a", &leaf, 1, "ready");
+    site.configure(&[route("safe")]);
+    site.start();
+    site.wait_ready(0);
+    let mut headers = http::HeaderMap::new();
+    headers.insert("host", http::HeaderValue::from_static("shop.example"));
+    headers.insert("x-request-id", http::HeaderValue::from_static("r-1"));
+    headers.insert("x-api-key", http::HeaderValue::from_static("key-bank"));
+    let query = Query { headers: encode_headers(&headers), ..query(site.version()) };
+
+    let replies: Vec<Reply> = (0..30).map(|_| send(site.nodes[0].peers, encode(&query))).collect();
+
+    let is_served = |reply: &Reply| matches!(reply, Reply::Answer(answer) if answer.status == 200);
+    assert!(replies.iter().all(is_served), "{replies:?}");
+}
+
 /// Sends heartbeats of a node that claims to reach all leafs, until the test ends.
 fn claim_to_reach_leafs(claimant: &TcpListener, to: SocketAddr, is_over: &AtomicBool) {
     let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
