--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 //! they say of themselves; [`probes`] find out when lost ones can be reached again. [`store`]
 //! follows the platform's store, and [`peers`] exchanges data with the other nodes,
 //! the configuration as a compressed [`document`].
+//! [`quotas`] admits requests of organisations that have a quota over all nodes.
 //! [`addresses`] serves the address lookup, readiness and metrics; [`audit`] writes the log
 //! lines about requests, and [`maintenance`] does the periodic work. The tasks share the state in
 //! [`hub`], most of it [`tables`]; [`reach`] is what it says of leafs that can't be reached. Decisions are made in
