Send nothing to the leafs of an evacuated availability zone

Cause: a zone that is taken out of service could only be emptied leaf by leaf.

Change: dispatch::evacuation keeps the zones by place in the store's history, with tombstones and the place up to which they are complete; the fleet leaves their leafs out of placement, writes, health checks and reach. Nodes learn of them from the store, from a new datagram and with each exchange (/evacuations, which older builds answer with 404). A node sends nothing and isn't ready before it knows the state.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -4,8 +4,8 @@
 //! that it reported with its latest answer while that is recent, how slow its recent
 //! answers were, and how long it has been silent with requests in flight. `leaf` keeps
 //! this state for one leaf, `notice` what leafs say of themselves in responses, `rate_limit` a
-//! node's share of what a leaf accepts, `reach` tells which services this node has lost, and
-//! `search` compares the leafs of a service.
+//! node's share of what a leaf accepts, `reach` tells which services this node has lost, `search`
+//! compares the leafs of a service, and `zones` tells to which availability zones nothing is sent.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -21,6 +21,7 @@
 mod rate_limit;
 mod reach;
 mod search;
+mod zones;
 
 pub use leaf::{Assessment, Change, Ending, Leaf, Report};
 pub use rate_limit::{Limiter, Need, Statement};
@@ -31,6 +32,7 @@
 use leaf::InFlight;
 use reach::Tracker;
 use search::{CAPACITY_POLL, OVERRUN_FACTOR, Search};
+use zones::Closed;
 
 /// Share of a leaf's connections that nodes use. The rest is reserved for nodes that replace
 /// others.
@@ -68,6 +70,8 @@
     connect_time: Duration,
     /// Which services this node reaches.
     reach: Tracker,
+    /// Zones that nothing may be sent to.
+    closed: Closed,
     /// Number of the next key.
     next_key: u64,
     rng: ChaCha8Rng,
@@ -88,6 +92,7 @@
             returns: HashMap::new(),
             connect_time: INITIAL_CONNECT_TIME,
             reach: Tracker::default(),
+            closed: Closed::default(),
             next_key: 1,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -182,7 +187,8 @@
     /// Whether a request that was placed on a leaf may still be sent to it.
     #[must_use]
     pub fn accepts_requests(&self, now: Time, key: Key) -> bool {
-        let accepts = |leaf: &Leaf| !leaf.leaving && leaf.backoff_until <= now;
+        let accepts =
+            |leaf: &Leaf| !leaf.leaving && leaf.backoff_until <= now && !self.closed.contains(leaf);
         self.is_usable(key) && self.leafs.get(&key).is_some_and(accepts)
     }
 
@@ -210,7 +216,7 @@
         let mut search = Search::default();
         for key in keys.iter().filter(|key| demand.candidates.contains(**key)) {
             let leaf = &self.leafs[key];
-            if leaf.misdirected || leaf.leaving {
+            if leaf.misdirected || leaf.leaving || self.closed.contains(leaf) {
                 continue;
             }
             let cost = self.cost(now, leaf, demand.usual);
@@ -266,7 +272,7 @@
     /// tried now or there is none.
     #[must_use]
     pub fn available_at(&self, now: Time, service: &str) -> Option<Time> {
-        let leafs = self.leafs(service).iter().map(|key| &self.leafs[key]);
+        let leafs = self.open_leafs(service);
         let used = leafs.filter(|leaf| !leaf.misdirected && !leaf.leaving);
         let first = used.map(|leaf| leaf.paused_until.max(leaf.backoff_until)).min()?;
         (first > now).then_some(first)
--- a/crates/dispatch/src/fleet/notice.rs
+++ b/crates/dispatch/src/fleet/notice.rs
@@ -102,7 +102,7 @@
     /// If all leafs have a rate limit, each caller gets a time of its own: of callers that come back
     /// at the same time, the limits allow only some to be served.
     pub fn schedule_return(&mut self, now: Time, service: &id::Name, at: Time) -> Time {
-        let limiters = self.leafs(service).iter().map(|key| self.leafs[key].rate_limiter);
+        let limiters = self.open_leafs(service).map(|leaf| leaf.rate_limiter);
         let Some(rates) = limiters.map(|l| Some(l?.rate())).collect::<Option<Vec<f64>>>() else {
             return at;
         };
--- a/crates/dispatch/src/fleet/reach.rs
+++ b/crates/dispatch/src/fleet/reach.rs
@@ -10,7 +10,7 @@
 
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, IteratorRandom};
 
 use super::leaf::{Ending, Leaf};
 use super::{Fleet, Key};
@@ -137,42 +137,58 @@
     pub fn choose_lost_leafs(&mut self) -> Vec<Key> {
         if self.reach.is_restricted && !self.reach.is_cut_off {
             let all = self.services.values().flatten().copied();
-            let unconnectable: Vec<Key> =
-                all.filter(|key| self.leafs[key].is_unconnectable()).collect();
+            let is_unconnectable =
+                |key: &Key| self.leafs[key].is_unconnectable() && !self.is_evacuated(*key);
+            let unconnectable: Vec<Key> = all.filter(is_unconnectable).collect();
             return unconnectable.choose_multiple(&mut self.rng, MAX_PROBES).copied().collect();
         }
         let lost: Vec<id::Name> = self.lost_services().cloned().collect();
-        let Fleet { services, rng, .. } = self;
+        let Fleet { services, leafs, closed, rng, .. } = self;
         let chosen: Vec<&id::Name> = lost.choose_multiple(rng, MAX_PROBES).collect();
-        chosen.into_iter().filter_map(|service| services[service].choose(rng).copied()).collect()
+        let choose = |service: &id::Name| {
+            let open = services[service].iter().filter(|key| !closed.contains(&leafs[*key]));
+            open.choose(rng).copied()
+        };
+        chosen.into_iter().filter_map(choose).collect()
+    }
+
+    /// Returns the services with leafs outside of evacuated zones, and these leafs.
+    fn open_services(&self) -> Vec<(&id::Name, Vec<Key>)> {
+        let open = self.services.iter().map(|(service, keys)| {
+            let keys = keys.iter().copied().filter(|key| !self.is_evacuated(*key));
+            (service, keys.collect::<Vec<Key>>())
+        });
+        open.filter(|(_, keys)| !keys.is_empty()).collect()
     }
 
     /// Updates which services are lost. Returns `true` if [`Fleet::loss`] has changed since the last
     /// call.
     pub fn update_reach(&mut self, now: Time) -> bool {
-        let reach = &mut self.reach;
-        reach.heard.retain(|service, _| self.services.contains_key(service));
+        let services = &self.services;
+        self.reach.heard.retain(|service, _| services.contains_key(service));
         let mut lost = HashSet::new();
         let (mut silent_leafs, mut silent_services) = (0, 0);
         let (mut unconnectable_leafs, mut unconnectable_services) = (0, 0);
-        for (service, keys) in &self.services {
+        let open_services = self.open_services();
+        for (service, keys) in &open_services {
             let silent: Vec<Time> =
                 keys.iter().filter_map(|key| self.leafs[key].silent_since(now)).collect();
             let after = |heard: Option<Time>| silent.iter().filter(|at| Some(**at) > heard).count();
-            let unheard = after(reach.heard.get(service).copied());
+            let unheard = after(self.reach.heard.get(*service).copied());
             if unheard > 0 && unheard >= keys.len().min(MIN_SILENT_LEAFS) {
-                lost.insert(service.clone());
+                lost.insert((*service).clone());
             }
-            let unheard = after(reach.heard_any);
+            let unheard = after(self.reach.heard_any);
             silent_leafs += unheard;
             silent_services += usize::from(unheard > 0);
             let unconnectable = count_unconnectable(&self.leafs, keys);
             unconnectable_leafs += unconnectable;
             unconnectable_services += usize::from(unconnectable > 0);
         }
-        let min_services = MIN_SILENT_SERVICES.min(self.services.len());
+        let min_services = MIN_SILENT_SERVICES.min(open_services.len());
         let is_node =
             |leafs: usize, services: usize| leafs >= MIN_SILENT_LEAFS && services >= min_services;
+        let reach = &mut self.reach;
         reach.is_cut_off = is_node(silent_leafs, silent_services);
         reach.is_restricted = is_node(unconnectable_leafs, unconnectable_services);
         reach.lost = lost;
@@ -189,11 +205,12 @@
         self.reach.is_restricted
     }
 
-    /// Whether this node reaches no leaf of a service. A service without leafs isn't lost.
+    /// Whether this node reaches no leaf of a service. A service without leafs outside of evacuated
+    /// zones isn't lost.
     #[must_use]
     pub fn is_lost(&self, service: &str) -> bool {
         (self.reach.is_cut_off || self.reach.lost.contains(service))
-            && !self.leafs(service).is_empty()
+            && self.open_leafs(service).next().is_some()
     }
 
     /// Iterates over the services that are lost.
@@ -222,7 +239,8 @@
         };
         for (service, keys) in &self.services {
             let heard = self.reach.heard.get(service).copied();
-            let silent = keys.iter().filter(|key| self.leafs[key].silent_since(now) > heard);
+            let open = keys.iter().filter(|key| !self.is_evacuated(**key));
+            let silent = open.filter(|key| self.leafs[key].silent_since(now) > heard);
             census.leafs += keys.len();
             census.silent_leafs += silent.count();
             census.unconnectable_leafs += count_unconnectable(&self.leafs, keys);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,7 +8,8 @@
 //! [`caller_timeout`] estimates how long a caller has been waiting, and [`gossip`] spreads what
 //! it rests on over the nodes; [`round_trip`] estimates how far away the caller is. [`roster`] tracks the other nodes and selects those that callers
 //! may use, by what these say of the leafs that they [`reach`]. [`relay`] chooses nodes that serve on behalf of one that has lost its leafs. [`quarantine`] tells requests that crash leafs. [`transfer`] spreads a large document
-//! over the nodes, and [`configuration`] orders the versions of the one that it is for.
+//! over the nodes, and [`configuration`] orders the versions of the one that it is for. [`evacuation`]
+//! holds the availability zones that nothing may be sent to.
 //!
 //! Nothing here opens a socket, reads a clock or starts a thread: the current time is an
 //! argument of every call, and sending is left to the caller.
@@ -17,6 +18,7 @@
 pub mod caller_timeout;
 pub mod catalog;
 pub mod configuration;
+pub mod evacuation;
 pub mod fleet;
 pub mod flight;
 pub mod gossip;
--- a/crates/dispatch/tests/suite/main.rs
+++ b/crates/dispatch/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod caller_timeout;
 mod callers;
 mod catalog;
+mod evacuation;
 mod fleet;
 mod flight;
 mod gossip;
--- a/crates/testkit/src/gateway/site.rs
+++ b/crates/testkit/src/gateway/site.rs
@@ -133,22 +133,44 @@
 
     /// Writes the registry entry of a leaf.
     pub fn register(&self, id: &str, service: &str, leaf: &Leaf, sequence: u64, state: &str) {
-        let entry = json!({
+        self.register_with(id, service, leaf, &json!({ "sequence": sequence, "state": state }));
+    }
+
+    /// Writes the registry entry of a leaf, in which `fields` replace the usual ones.
+    ///
+    /// # Panics
+    ///
+    /// If `fields` isn't an object.
+    pub fn register_with(&self, id: &str, service: &str, leaf: &Leaf, fields: &Value) {
+        let mut entry = json!({
             "service": service, "address": leaf.address, "zone": "z", "version": "v1", "slots": 4,
-            "state": state, "warmup-left-ms": 0, "sequence": sequence, "born": 1_700_000_000_000_u64,
+            "state": "ready", "warmup-left-ms": 0, "sequence": 1, "born": 1_700_000_000_000_u64,
         });
+        set_fields(&mut entry, fields);
         self.put(&format!("servers/{id}"), Some(entry.to_string()));
     }
 
     /// Writes the next version of the configuration, with these routes.
     pub fn configure(&mut self, routes: &[Value]) {
+        self.configure_with(routes, &json!({}));
+    }
+
+    /// Writes the next version of the configuration, with these routes and with services that have
+    /// `fields` in addition.
+    ///
+    /// # Panics
+    ///
+    /// If `fields` isn't an object.
+    pub fn configure_with(&mut self, routes: &[Value], fields: &Value) {
         self.version += 3;
         let services = ["a", "b", "s-0", "s-1", "s-2"];
         let services = services.map(|name| {
-            json!({
+            let mut service = json!({
                 "name": name, "health-path": "/healthz", "max-connections": 60,
                 "protocol": "h1", "tls": false,
-            })
+            });
+            set_fields(&mut service, fields);
+            service
         });
         let document = json!({
             "version": self.version,
@@ -257,6 +279,13 @@
     }
 }
 
+/// Sets fields of an object to those of another one.
+fn set_fields(object: &mut Value, fields: &Value) {
+    for (name, value) in fields.as_object().expect("an object") {
+        object[name] = value.clone();
+    }
+}
+
 impl Drop for Site {
     fn drop(&mut self) {
         // A folder that can't be removed is left to the system's clean-up of temporary files.
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -5,7 +5,7 @@
 //! retained lines. Of these, only the lock of the pool may be taken while the tables are locked.
 //! [`maintenance`](super::maintenance) removes expired entries in the background.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize};
 use std::sync::{Arc, MutexGuard};
@@ -13,11 +13,11 @@
 
 use jacinthfall_core::hash;
 use jacinthfall_core::history::Position;
-use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::budget::Budget;
 use jacinthfall_dispatch::catalog::Catalog;
 use jacinthfall_dispatch::configuration::Ranks;
+use jacinthfall_dispatch::evacuation;
 use jacinthfall_dispatch::fleet::{Fleet, Key};
 use jacinthfall_dispatch::gossip;
 use jacinthfall_dispatch::latency::Latency;
@@ -37,7 +37,7 @@
 use super::audit::Audit;
 use super::connection::{Received, Sender};
 use super::peers::relay::Links;
-use super::pool::{self, DEFAULT_IDLE_TIMEOUT, Pool};
+use super::pool::Pool;
 use super::settings::Settings;
 use super::tables::{INITIAL_LAG, Meter, Shared, Tables};
 
@@ -117,11 +117,13 @@
         let nodes = MIN_ASSUMED_NODES;
         let mut fleet = Fleet::open(settings.zone.clone(), seed);
         fleet.set_share(Time(0), 1.0 / nodes as f64);
+        fleet.close_all_zones();
         let tables = Tables {
             configuration: None,
             ranks: Ranks::default(),
             slots: Slots::open(settings.capacity.link_mbps),
             catalog: Catalog::default(),
+            evacuations: evacuation::Table::default(),
             upto: Position::START,
             unverified: None,
             confirmed: Time(0),
@@ -221,33 +223,6 @@
         }
     }
 
-    /// Updates the fleet and the connections after registrations of leafs have changed. `source`
-    /// is logged.
-    pub fn apply_leaf_changes(self: &Arc<Self>, changed: &[id::Name], source: &str) {
-        let now = self.now();
-        self.audit.log_registration_changes(now, &self.tables, changed, source);
-        let (unused, unconnected) = {
-            let mut tables = self.tables();
-            let unused = tables.update_fleet(now);
-            // In a large deployment, a node that callers don't use opens no connections in
-            // advance, so that the limited connections of leafs remain for other nodes.
-            let few = tables.roster.len() < MIN_ASSUMED_NODES;
-            let unconnected = if few || tables.is_active() {
-                self.unconnected_leafs(&tables, changed)
-            } else {
-                Vec::new()
-            };
-            (unused, unconnected)
-        };
-        for key in unused {
-            self.close_idle(key);
-        }
-        for (key, address) in unconnected {
-            tokio::spawn(preconnect(Arc::clone(self), key, address));
-        }
-        self.serve_if_ready();
-    }
-
     /// Returns a connection to the pool, for `idle` at most.
     pub fn release(&self, key: Key, sender: Sender, now: Time, idle: Duration) {
         self.tables().fleet.record_idle(now, key, now + idle);
@@ -260,18 +235,6 @@
         self.pool.close(key);
     }
 
-    /// Returns those of the changed leafs that belong to configured services and that this node
-    /// has no connection to. Connections to the others have been closed since they were idle.
-    fn unconnected_leafs(&self, tables: &Tables, changed: &[id::Name]) -> Vec<(Key, SocketAddr)> {
-        let Some(known) = &tables.configuration else { return Vec::new() };
-        let changed: HashSet<&id::Name> = changed.iter().collect();
-        let keys = known.snapshot.services.keys().flat_map(|name| tables.fleet.leafs(name));
-        let leafs = keys.filter_map(|key| Some((*key, tables.fleet.leaf(*key)?)));
-        let unconnected =
-            leafs.filter(|(key, leaf)| changed.contains(&leaf.id) && !self.pool.is_open(*key));
-        unconnected.map(|(key, leaf)| (key, leaf.entry.address)).collect()
-    }
-
     /// Starts to serve once enough is known, and triggers a heartbeat.
     pub fn serve_if_ready(&self) {
         let now = self.now();
@@ -290,12 +253,3 @@
         self.heartbeat_due.notify_one();
     }
 }
-
-/// Opens the first connection to a leaf, so that no request has to wait for it.
-async fn preconnect(hub: Arc<Hub>, key: Key, address: SocketAddr) {
-    if let Some(permit) = hub.pool.reserve(key, 1)
-        && let Ok(sender) = pool::dial(address, permit).await
-    {
-        hub.release(key, sender, hub.now(), DEFAULT_IDLE_TIMEOUT);
-    }
-}
--- a/src/gateway/maintenance.rs
+++ b/src/gateway/maintenance.rs
@@ -7,6 +7,7 @@
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::roster::Phase;
 
+use super::evacuation;
 use super::hub::{Hub, MIN_ASSUMED_NODES};
 use super::probes;
 use super::tables::MAINTENANCE_INTERVAL;
@@ -60,6 +61,7 @@
         if now.since(last_tick) < MAX_TICK_GAP {
             hub.update_reach(now);
         }
+        evacuation::expire(&hub);
         probes::spawn(&hub);
         last_tick = now;
         if hub.tables().phase == Phase::Starting {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -50,6 +50,11 @@
         "Time for which a later configuration than the one in force is known to exist"
     );
     describe_gauge!("jacinthfall_configuration_version", "Version of the configuration in force");
+    describe_gauge!("jacinthfall_zones_evacuated", "Availability zones that are evacuated");
+    describe_counter!(
+        "jacinthfall_evacuation_statements_dropped_total",
+        "Statements of other nodes on evacuated zones that were implausible"
+    );
     describe_gauge!("jacinthfall_leafs_usable", "Leafs that may be given requests");
     describe_counter!(
         "jacinthfall_relayed_requests_total",
@@ -139,6 +144,8 @@
     gauge!("jacinthfall_configuration_behind_seconds").set(behind);
     gauge!("jacinthfall_store_era").set(tables.upto.era as f64);
     gauge!("jacinthfall_leafs_usable").set(tables.catalog.usable().count() as f64);
+    let evacuated = tables.evacuations.evacuated().len();
+    gauge!("jacinthfall_zones_evacuated").set(evacuated as f64);
     let census = tables.fleet.census(now);
     gauge!("jacinthfall_leafs_silent").set(census.silent_leafs as f64);
     gauge!("jacinthfall_leafs_unconnectable").set(census.unconnectable_leafs as f64);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,8 @@
 //!
 //! [`callers`] serves the requests of callers and [`leafs`] sends them to leafs
 //! over the [`connection`]s of [`pool`]; [`crashes`] finds out which of them have crashed, and [`notices`] records what
-//! they say of themselves; [`probes`] find out when lost ones can be reached again. [`store`]
+//! they say of themselves; [`registrations`] applies their entries in the store, and [`probes`] find
+//! out when lost leafs can be reached again. [`evacuation`] tells to which zones nothing is sent. [`store`]
 //! follows the platform's store, and [`peers`] exchanges data with the other nodes,
 //! the configuration as a compressed [`document`].
 //! [`addresses`] serves the address lookup, readiness and metrics; [`audit`] writes the log
@@ -21,6 +22,7 @@
 pub mod connection;
 pub mod crashes;
 pub mod document;
+pub mod evacuation;
 pub mod hub;
 pub mod leafs;
 pub mod listener;
@@ -31,6 +33,7 @@
 pub mod pool;
 pub mod probes;
 pub mod reach;
+pub mod registrations;
 pub mod settings;
 pub mod stop;
 pub mod store;
--- a/src/gateway/peers/exchange.rs
+++ b/src/gateway/peers/exchange.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use http::StatusCode;
 use jacinthfall_core::history::Position;
 use jacinthfall_dispatch::catalog::Delta;
+use jacinthfall_dispatch::evacuation::Statement;
 use jacinthfall_dispatch::gossip;
 use jacinthfall_dispatch::quarantine;
 use jacinthfall_dispatch::roster::{Node, Phase};
@@ -15,11 +17,15 @@
 use tokio::sync::mpsc;
 
 use super::{Error, Peer};
+use crate::gateway::evacuation;
 use crate::gateway::hub::Hub;
 
 /// HTTP path of an exchange.
 pub(super) const PATH: &str = "/exchange";
 
+/// HTTP path of what a node knows of evacuated zones. Older builds answer it with 404.
+pub(super) const EVACUATIONS_PATH: &str = "/evacuations";
+
 /// Pause between two exchanges.
 const EXCHANGE_PAUSE: Duration = Duration::from_millis(150);
 
@@ -78,7 +84,14 @@
         counter!("jacinthfall_exchanges_total", "outcome" => outcome).increment(1);
         histogram!("jacinthfall_exchange_seconds", "outcome" => outcome).record(started.elapsed());
         match result {
-            Ok(updates) => merge_updates(&hub, updates, peer),
+            Ok((updates, statement)) => {
+                // No request may go to a leaf before it is known whether its zone is evacuated.
+                match statement {
+                    Some(statement) => evacuation::merge(&hub, &statement),
+                    None => evacuation::record_uninformed(&hub),
+                }
+                merge_updates(&hub, updates, peer);
+            }
             Err(error) => {
                 let upto = hub.tables().upto;
                 log::info!("event=exchange_failed peer={peer} upto={upto} reason=\"{error}\"");
@@ -88,13 +101,26 @@
     }
 }
 
-async fn fetch_updates(hub: &Hub, peer: SocketAddr) -> Result<Updates, Error> {
+/// Returns what this node knows of evacuated zones.
+pub(super) fn state_evacuations(hub: &Hub) -> Statement {
+    hub.tables().evacuations.statement()
+}
+
+/// Asks a node for its updates, and then for the evacuated zones, which it knows up to a place that
+/// isn't before that of the updates. There is no statement from a node of an older build.
+async fn fetch_updates(hub: &Hub, peer: SocketAddr) -> Result<(Updates, Option<Statement>), Error> {
     let query = {
         let tables = hub.tables();
         let upto = if tables.unverified.is_some() { Position::START } else { tables.upto };
         Query { upto, lacks_gossip: !tables.gossip_received }
     };
-    Peer::open(peer).await?.ask(PATH, &query).await
+    let peer = Peer::open(peer).await?;
+    let updates = peer.ask(PATH, &query).await?;
+    match peer.ask(EVACUATIONS_PATH, &()).await {
+        Ok(statement) => Ok((updates, Some(statement))),
+        Err(Error::Rejected(StatusCode::NOT_FOUND)) => Ok((updates, None)),
+        Err(error) => Err(error),
+    }
 }
 
 fn merge_updates(hub: &Arc<Hub>, updates: Updates, peer: SocketAddr) {
--- a/src/gateway/peers/heartbeats.rs
+++ b/src/gateway/peers/heartbeats.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::gateway::evacuation;
 use crate::gateway::hub::{Hub, MAX_WATCH_LAG};
 
 /// Interval between two heartbeats.
@@ -31,6 +32,10 @@
 /// Number of nodes that what is new about callers is sent to, at each interval.
 const GOSSIP_TARGETS: usize = 6;
 
+/// Number of nodes that are told which zones are evacuated at each interval, without news. Each node
+/// is told by as many others, so that it is rarely missed twice in a row.
+const EVACUATION_TARGETS: usize = 3;
+
 /// Sends heartbeats periodically, and at once when the state of this node has changed.
 pub(super) async fn send(hub: Arc<Hub>, socket: Arc<UdpSocket>) {
     let mut ticks = interval(HEARTBEAT_INTERVAL);
@@ -48,9 +53,24 @@
         send_to_all(&socket, &Datagram::Heartbeat(beat), &targets);
         let (news, targets) = gossip(&hub, &mut rng);
         news.iter().for_each(|datagram| send_to_all(&socket, datagram, &targets));
+        send_evacuations(&hub, &socket, &mut rng);
     }
 }
 
+/// Tells other nodes which zones are evacuated: as many as get a heartbeat if there is news, else a
+/// few random ones.
+fn send_evacuations(hub: &Arc<Hub>, socket: &UdpSocket, rng: &mut ChaCha8Rng) {
+    let Some((statement, is_news)) = evacuation::next_statement(hub) else { return };
+    let targets = if is_news {
+        targets(hub, rng, false)
+    } else {
+        let tables = hub.tables();
+        let members = tables.roster.members().map(|member| member.node.peers);
+        members.choose_multiple(rng, EVACUATION_TARGETS)
+    };
+    send_to_all(socket, &Datagram::Evacuation(statement), &targets);
+}
+
 fn send_to_all(socket: &UdpSocket, datagram: &Datagram, targets: &[SocketAddr]) {
     let Ok(bytes) = bincode::serde::encode_to_vec(datagram, standard()) else { return };
     for target in targets {
@@ -144,6 +164,10 @@
                 hub.merge_quarantine(&rows);
                 continue;
             }
+            Ok((Datagram::Evacuation(statement), _)) => {
+                evacuation::merge(&hub, &statement);
+                continue;
+            }
             Err(_) => {
                 log::warn!("event=heartbeat_unreadable bytes={length}");
                 continue;
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -106,6 +106,7 @@
         let hub = self.0.get()?;
         let response = match request.path.as_str() {
             exchange::PATH => respond(&request, |query| exchange::collect_updates(hub, &query)),
+            exchange::EVACUATIONS_PATH => respond(&request, |()| exchange::state_evacuations(hub)),
             configuration::PATH => respond(&request, |query| configuration::reply(hub, &query)),
             relay::PATH => relay::respond(hub, &request).await,
             _ => Response::new(StatusCode::NOT_FOUND, "there is nothing at this path"),
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use jacinthfall_adapter::store::{Changes, Client, Error, Item};
-use jacinthfall_adapter::{configuration, registry};
+use jacinthfall_adapter::{configuration, evacuation as evacuation_keys, registry};
 use jacinthfall_core::history::Position;
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
@@ -14,6 +14,7 @@
 use jacinthfall_dispatch::roster::Node;
 use metrics::{counter, histogram};
 
+use super::evacuation;
 use super::hub::Hub;
 use super::tables::MAX_PEER_WAIT;
 use crate::registration::{self, Backoff, Entry};
@@ -46,6 +47,9 @@
 /// follow together.
 const WATCH_BATCH_PAUSE: Duration = Duration::from_millis(400);
 
+/// Minimum time between two reads of the evacuations alone by a node that has read them before.
+const EVACUATION_READ_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Starts to follow the store and to keep this node registered in it.
 pub fn spawn(hub: &Arc<Hub>) {
     let client = Client::open(hub.settings.store.address);
@@ -107,12 +111,17 @@
 /// is dropped. One node of each zone watches the store; the others get the changes from it.
 async fn follow(hub: Arc<Hub>, client: Client) {
     let mut backoff = Backoff::open();
+    let mut evacuations = Evacuations::default();
     wait_for_peers(&hub).await;
     loop {
         if hub.tables().upto == Position::START && list(&hub, &client).await.is_err() {
             backoff.pause().await;
             continue;
         }
+        if evacuations.is_due(&hub) && evacuations.refresh(&hub, &client).await.is_err() {
+            backoff.pause().await;
+            continue;
+        }
         let is_new = hub.now().since(Time(0)) < MIN_WATCH_UPTIME;
         if is_new || !hub.tables().roster.is_follower_of_store(hub.now(), &hub.own) {
             tokio::time::sleep(ROLE_POLL_INTERVAL).await;
@@ -126,6 +135,32 @@
     }
 }
 
+/// Reads of the evacuations alone, by a node that got the registrations of leafs from nodes that
+/// couldn't tell the evacuations, such as those of an older build.
+#[derive(Debug, Default)]
+struct Evacuations {
+    /// When the latest read began.
+    read_at: Option<Time>,
+}
+
+impl Evacuations {
+    /// Whether the evacuations are to be read.
+    fn is_due(&self, hub: &Hub) -> bool {
+        let tables = hub.tables();
+        let is_recent = |at: Time| hub.now().since(at) < EVACUATION_READ_INTERVAL;
+        let known = tables.evacuations.upto();
+        known < tables.upto && (known == Position::START || !self.read_at.is_some_and(is_recent))
+    }
+
+    async fn refresh(&mut self, hub: &Arc<Hub>, client: &Client) -> Result<(), Error> {
+        self.read_at = Some(hub.now());
+        let listing = measure(hub, "list", client.list(evacuation_keys::PREFIX)).await?;
+        evacuation::apply_listing(hub, &listing.items, listing.at);
+        hub.serve_if_ready();
+        Ok(())
+    }
+}
+
 /// Makes one watch call, after reading a configuration that the watch would pass over.
 async fn follow_once(hub: &Arc<Hub>, client: &Client) -> Result<(), Error> {
     let passed_over = {
@@ -163,7 +198,7 @@
     match result {
         Ok(changes) => {
             let is_change = !changes.events.is_empty();
-            apply(hub, changes);
+            apply(hub, upto, changes);
             if is_change {
                 tokio::time::sleep(WATCH_BATCH_PAUSE).await;
             }
@@ -193,6 +228,7 @@
             apply_configuration(hub, item);
         }
     }
+    evacuation::apply_listing(hub, &listing.items, listing.at);
     let now = hub.now();
     let (before, changed) = {
         let mut tables = hub.tables();
@@ -219,13 +255,15 @@
     hub.serve_if_ready();
 }
 
-/// Applies the changes that a watch returned.
-fn apply(hub: &Arc<Hub>, changes: Changes) {
+/// Applies the changes after a place that a watch returned.
+fn apply(hub: &Arc<Hub>, after: Position, changes: Changes) {
     let mut changed = Vec::new();
     let now = hub.now();
     for item in &changes.events {
         if &*item.key == configuration::KEY {
             apply_configuration(hub, item);
+        } else if evacuation::apply_item(hub, item) {
+            // Nothing else depends on it.
         } else if let Some((id, record)) = decode_leaf(item) {
             if hub.tables().catalog.apply(now, &id, record) {
                 changed.push(id);
@@ -237,6 +275,7 @@
     {
         let mut tables = hub.tables();
         tables.upto = tables.upto.max(changes.at);
+        tables.evacuations.advance(after, changes.at);
         tables.confirmed = now;
     }
     if !changed.is_empty() {
--- a/src/gateway/tables.rs
+++ b/src/gateway/tables.rs
@@ -12,6 +12,7 @@
 use jacinthfall_dispatch::caller_timeout::Estimator;
 use jacinthfall_dispatch::catalog::Catalog;
 use jacinthfall_dispatch::configuration::Ranks;
+use jacinthfall_dispatch::evacuation;
 use jacinthfall_dispatch::fleet::{Fleet, Key, connections_per_node};
 use jacinthfall_dispatch::flight::{Context, Timing};
 use jacinthfall_dispatch::gossip;
@@ -130,6 +131,8 @@
     pub slots: Slots,
     /// Registrations of leafs.
     pub catalog: Catalog,
+    /// Evacuated availability zones.
+    pub evacuations: evacuation::Table,
     /// Place in the store's history up to which all changes are known, but for a configuration
     /// that is expected; the start if nothing is known yet.
     pub upto: Position,
@@ -204,6 +207,7 @@
             self.ranks.is_behind() && self.ranks.time_behind(now) < MAX_CONFIGURATION_WAIT;
         self.configuration.is_some()
             && self.upto > Position::START
+            && self.evacuations.allows_requests(now)
             && !waits_for_peers
             && !waits_for_configuration
     }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod changes;
 mod cut_off;
 mod endless;
+mod evacuation;
 mod explain;
 mod faults;
 mod input;
