Limit the requests to a cold leaf in every second, over all nodes

Cause: a leaf that has just started, or has become cold again, crashes well above warmup-per-s requests per second. Nodes read the limit and the remaining time from the store and used neither for a limit.

Change: fleet::warmup keeps when each leaf's warm-up ends (by its entry, counted from when that was first seen, and by X-Warmup-Ms in responses), and gives a cold leaf a Limiter beside the one that it states; both are obeyed. The Limiter's tokens live one second, so unused ones of all nodes add up to a second's limit: the lifetime is now a property, chosen so that they stay within a quarter of it and 1.5. A node's share is the mean of its latest eight without the three highest, since it is too high until heartbeats tell of the others' demand.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -5,7 +5,8 @@
 //! answers were, and how long it has been silent with requests in flight. `leaf` keeps
 //! this state for one leaf, `notice` what leafs say of themselves in responses, `rate_limit` a
 //! node's share of what a leaf accepts, `reach` tells which services this node has lost, `search`
-//! compares the leafs of a service, and `zones` tells to which availability zones nothing is sent.
+//! compares the leafs of a service, `warmup` limits the requests to cold leafs, and `zones` tells to
+//! which availability zones nothing is sent.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -21,6 +22,7 @@
 mod rate_limit;
 mod reach;
 mod search;
+mod warmup;
 mod zones;
 
 pub use leaf::{Assessment, Change, Ending, Leaf, Report};
@@ -28,6 +30,7 @@
 pub use reach::Census;
 pub(crate) use reach::patience;
 pub use search::{Candidates, Demand, Placement};
+pub use warmup::WarmupChange;
 
 use leaf::InFlight;
 use reach::Tracker;
@@ -72,6 +75,8 @@
     reach: Tracker,
     /// Zones that nothing may be sent to.
     closed: Closed,
+    /// Warm-ups of leafs, and their limits.
+    warmups: warmup::Tracker,
     /// Number of the next key.
     next_key: u64,
     rng: ChaCha8Rng,
@@ -93,6 +98,7 @@
             connect_time: INITIAL_CONNECT_TIME,
             reach: Tracker::default(),
             closed: Closed::default(),
+            warmups: warmup::Tracker::default(),
             next_key: 1,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -139,6 +145,7 @@
             keys.sort_unstable();
         }
         self.services = services;
+        self.update_warmups(now);
         let unused: Vec<Key> = current.into_values().collect();
         for key in &unused {
             if self.leafs.get(key).is_some_and(|leaf| leaf.sends.is_empty()) {
@@ -287,6 +294,7 @@
             if let Some(limiter) = &mut leaf.rate_limiter {
                 limiter.record_send(now);
             }
+            leaf.warmup.record_send(now);
         }
     }
 
--- a/crates/dispatch/src/fleet/leaf.rs
+++ b/crates/dispatch/src/fleet/leaf.rs
@@ -6,7 +6,8 @@
 use jacinthfall_core::time::Time;
 use jacinthfall_route::leaf::Entry;
 
-use super::rate_limit::{Limiter, Need};
+use super::rate_limit::Limiter;
+use super::warmup::Warmup;
 
 /// Weight of a new observation in the exponential moving averages.
 const SMOOTHING_WEIGHT: f64 = 0.25;
@@ -172,8 +173,8 @@
     pub id: id::Name,
     /// Latest entry from the store.
     pub entry: Entry,
-    /// When its warm-up ends.
-    pub(super) warm_at: Time,
+    /// Its warm-up.
+    pub(super) warmup: Warmup,
     /// Requests of this node in flight, oldest first.
     pub(super) sends: Vec<InFlight>,
     /// Until when each idle connection to it may be used, the one used last at the end.
@@ -212,7 +213,7 @@
     pub(super) fn open(now: Time, id: id::Name, entry: Entry) -> Leaf {
         Leaf {
             id,
-            warm_at: now + entry.warmup,
+            warmup: Warmup::default(),
             entry,
             sends: Vec::new(),
             idle: Vec::new(),
@@ -358,16 +359,6 @@
         }
     }
 
-    /// Returns until when its rate limit allows this node no request.
-    pub(super) fn rate_limit_until(&self, now: Time, need: Need) -> Time {
-        self.rate_limiter.map_or(Time(0), |limiter| limiter.available_at(now, need))
-    }
-
-    /// Returns the number of requests that its rate limit allows this node at once.
-    pub(super) fn rate_limit_free(&self, now: Time) -> usize {
-        self.rate_limiter.map_or(usize::MAX / 2, |limiter| limiter.free(now))
-    }
-
     /// Returns the number of requests that are ahead of the next one.
     fn queue_length(&self, now: Time, response: f64) -> f64 {
         let own = self.sends.len() as f64;
@@ -405,7 +396,7 @@
     /// connect is not included.
     pub(super) fn estimate(&self, now: Time, usual: Duration, zone: &str) -> f64 {
         let response = usual.as_secs_f64() * self.slowness(now);
-        let warmup = if now < self.warm_at { 1.6 } else { 1.0 };
+        let warmup = if self.warmup.is_cold(now) { 1.6 } else { 1.0 };
         let work = response * warmup * self.queueing_factor(now, response);
         let distance =
             if *self.entry.zone == *zone { 0.0 } else { CROSS_ZONE_PENALTY.as_secs_f64() };
--- a/crates/dispatch/src/fleet/notice.rs
+++ b/crates/dispatch/src/fleet/notice.rs
@@ -88,6 +88,7 @@
         self.share = share;
         let limiters = self.leafs.values_mut().filter_map(|leaf| leaf.rate_limiter.as_mut());
         limiters.for_each(|limiter| limiter.set_share(now, share));
+        self.update_warmup_share(now, share);
     }
 
     /// Returns this node's share of the rate limits of leafs, from 0 to 1.
@@ -102,10 +103,8 @@
     /// If all leafs have a rate limit, each caller gets a time of its own: of callers that come back
     /// at the same time, the limits allow only some to be served.
     pub fn schedule_return(&mut self, now: Time, service: &id::Name, at: Time) -> Time {
-        let limiters = self.open_leafs(service).map(|leaf| leaf.rate_limiter);
-        let Some(rates) = limiters.map(|l| Some(l?.rate())).collect::<Option<Vec<f64>>>() else {
-            return at;
-        };
+        let rates = self.open_leafs(service).map(|leaf| leaf.limited_rate(now));
+        let Some(rates) = rates.collect::<Option<Vec<f64>>>() else { return at };
         let interval = Duration::try_from_secs_f64(1.0 / rates.iter().sum::<f64>());
         let interval = interval.unwrap_or(MAX_RETURN_DELAY).min(MAX_RETURN_DELAY);
         let latest = self.returns.get(service).map(|latest| *latest + interval);
--- a/crates/dispatch/src/fleet/rate_limit.rs
+++ b/crates/dispatch/src/fleet/rate_limit.rs
@@ -51,6 +51,8 @@
     updated_at: Time,
     /// This node's share of the limit, from 0 to 1.
     share: f64,
+    /// Time for which a token may be used.
+    lifetime: Duration,
     /// Number of requests that this node has sent since the last [`Limiter::take_sends`].
     sends: u32,
 }
@@ -70,7 +72,14 @@
     /// ```
     #[must_use]
     pub fn open(now: Time, limit: f64, share: f64, tokens: f64) -> Limiter {
-        Limiter { limit, stated_at: now, tokens, updated_at: now, share, sends: 0 }
+        let lifetime = TOKEN_LIFETIME;
+        Limiter { limit, stated_at: now, tokens, updated_at: now, share, lifetime, sends: 0 }
+    }
+
+    /// Changes the time for which a token may be used, and so how many can be saved up.
+    #[must_use]
+    pub fn with_token_lifetime(self, lifetime: Duration) -> Limiter {
+        Limiter { lifetime, ..self }
     }
 
     /// Returns the number of requests per second that this node may send.
@@ -129,13 +138,13 @@
 
     /// Returns the maximum number of tokens.
     fn capacity(&self) -> f64 {
-        (self.rate() * TOKEN_LIFETIME.as_secs_f64()).max(1.0)
+        (self.rate() * self.lifetime.as_secs_f64()).max(1.0)
     }
 
     fn tokens_at(&self, now: Time) -> f64 {
         let earned = self.rate() * now.since(self.updated_at).as_secs_f64();
         let tokens = self.tokens + earned;
-        let per_lifetime = self.rate() * TOKEN_LIFETIME.as_secs_f64();
+        let per_lifetime = self.rate() * self.lifetime.as_secs_f64();
         if per_lifetime >= 1.0 {
             return tokens.min(per_lifetime);
         }
--- a/crates/dispatch/tests/suite/main.rs
+++ b/crates/dispatch/tests/suite/main.rs
@@ -19,3 +19,4 @@
 mod support;
 mod trail;
 mod transfer;
+mod warmup;
--- a/src/gateway/audit/leafs.rs
+++ b/src/gateway/audit/leafs.rs
@@ -7,7 +7,7 @@
 use jacinthfall_core::history::Position;
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
-use jacinthfall_dispatch::fleet::{Change, Key, Statement};
+use jacinthfall_dispatch::fleet::{Change, Key, Statement, WarmupChange};
 use jacinthfall_dispatch::quarantine::Fingerprint;
 use jacinthfall_route::leaf::State;
 
@@ -99,6 +99,23 @@
         );
     }
 
+    /// Logs which leafs with a limit on requests while they are cold became cold or warm.
+    pub fn log_warmups(&self, now: Time, tables: &Shared) {
+        let changes = tables.lock().fleet.take_cold_changes(now);
+        for WarmupChange { key, left, limit } in changes {
+            let Some(passed_over) = lock(&self.0).states.admit(now) else { continue };
+            let tables = tables.lock();
+            let Some(leaf) = tables.fleet.leaf(key) else { continue };
+            log::info!(
+                "event=leaf_warmup id={} service={} left_ms={} per_second={limit} \
+                 passed_over={passed_over}",
+                leaf.id,
+                leaf.entry.service,
+                left.as_millis()
+            );
+        }
+    }
+
     /// Logs that a leaf's rate limit can't be decoded, so that it is ignored.
     pub fn log_malformed_rate_limit(
         &self,
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -87,7 +87,7 @@
                 return;
             }
             log_configuration(document, &snapshot, source, decoding, behind);
-            tables.put_in_force(document, Arc::new(snapshot));
+            tables.put_in_force(self.now(), document, Arc::new(snapshot));
         }
         self.serve_if_ready();
     }
--- a/src/gateway/maintenance.rs
+++ b/src/gateway/maintenance.rs
@@ -67,6 +67,7 @@
         if hub.tables().phase == Phase::Starting {
             hub.serve_if_ready();
         }
+        hub.audit.log_warmups(now, &hub.tables);
         hub.pool.expire(now);
         hub.audit.flush_if_due(now, &hub.tables);
         hub.metrics.run_upkeep();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -55,6 +55,7 @@
         "jacinthfall_evacuation_statements_dropped_total",
         "Statements of other nodes on evacuated zones that were implausible"
     );
+    describe_gauge!("jacinthfall_leafs_cold", "Leafs that may be given requests and are cold");
     describe_gauge!("jacinthfall_leafs_usable", "Leafs that may be given requests");
     describe_counter!(
         "jacinthfall_relayed_requests_total",
@@ -146,6 +147,7 @@
     gauge!("jacinthfall_leafs_usable").set(tables.catalog.usable().count() as f64);
     let evacuated = tables.evacuations.evacuated().len();
     gauge!("jacinthfall_zones_evacuated").set(evacuated as f64);
+    gauge!("jacinthfall_leafs_cold").set(tables.fleet.cold_leafs(now) as f64);
     let census = tables.fleet.census(now);
     gauge!("jacinthfall_leafs_silent").set(census.silent_leafs as f64);
     gauge!("jacinthfall_leafs_unconnectable").set(census.unconnectable_leafs as f64);
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -1,7 +1,7 @@
 //! Records what a leaf says of itself in the headers of a response: its load, and whether and how
 //! many requests it accepts.
 
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode};
 use jacinthfall_adapter::header;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::fleet::{Change, Key, Report, Statement};
@@ -15,6 +15,7 @@
         return;
     }
     record_load(hub, leaf, headers);
+    record_warmup(hub, leaf, headers);
     record_rate_limit(hub, leaf, sent, headers);
     if header::is_leaving(headers) && record_leaving(hub, leaf) {
         hub.close_idle(leaf);
@@ -32,6 +33,18 @@
     }
 }
 
+/// Records for how long a leaf stays cold, if the response says so and is of this leaf.
+pub fn record_warmup(hub: &Hub, leaf: Key, headers: &HeaderMap) {
+    let Some(left) = header::decode_warmup(headers) else { return };
+    let now = hub.now();
+    let mut tables = hub.tables();
+    let id = headers.get(header::LEAF).map(HeaderValue::as_bytes);
+    let is_own = |id: &[u8]| tables.fleet.leaf(leaf).is_some_and(|leaf| leaf.id.as_bytes() == id);
+    if id.is_none_or(is_own) {
+        tables.fleet.record_warmup(now, leaf, left);
+    }
+}
+
 fn record_rate_limit(hub: &Hub, leaf: Key, sent: Time, headers: &HeaderMap) {
     let now = hub.now();
     let statement = match header::decode_rate_limit(headers) {
--- a/src/gateway/probes.rs
+++ b/src/gateway/probes.rs
@@ -9,13 +9,14 @@
 use std::time::Duration;
 
 use http::header::HOST;
-use http::{HeaderValue, Request, Uri};
+use http::{HeaderValue, Request, StatusCode, Uri};
 use http_body_util::Full;
 use jacinthfall_dispatch::fleet::Key;
 use metrics::counter;
 use tokio::time::timeout;
 
 use super::hub::Hub;
+use super::notices;
 use super::pool::{self, DEFAULT_IDLE_TIMEOUT};
 
 /// Maximum time for a response to a health check.
@@ -72,7 +73,10 @@
     let host = HeaderValue::from_str(&probe.address.to_string()).ok()?;
     request.headers_mut().insert(HOST, host);
     let exchange = sender.exchange(request, &hub.received);
-    timeout(RESPONSE_TIMEOUT, exchange).await.ok()?.ok()?;
+    let response = timeout(RESPONSE_TIMEOUT, exchange).await.ok()?.ok()?;
+    if response.status() != StatusCode::MISDIRECTED_REQUEST {
+        notices::record_warmup(hub, probe.leaf, response.headers());
+    }
     hub.release(probe.leaf, sender, hub.now(), DEFAULT_IDLE_TIMEOUT);
     Some(())
 }
--- a/src/gateway/tables.rs
+++ b/src/gateway/tables.rs
@@ -269,15 +269,24 @@
     }
 
     /// Replaces the configuration in force.
-    pub fn put_in_force(&mut self, document: &Document, snapshot: Arc<Snapshot>) {
+    pub fn put_in_force(&mut self, now: Time, document: &Document, snapshot: Arc<Snapshot>) {
         let Document { edition, packed, .. } = document;
         let packed = packed.clone();
         self.ranks.put_in_force(edition.rank);
         self.configuration = Some(Configuration { edition: *edition, packed, snapshot });
         self.set_nodes(self.nodes);
+        self.set_warmup_limits(now);
         self.remove_stale_routes();
     }
 
+    /// Lets the fleet know the limits of cold leafs that the configuration in force states.
+    fn set_warmup_limits(&mut self, now: Time) {
+        let Some(known) = &self.configuration else { return };
+        let services = known.snapshot.services.values();
+        let limits = services.filter_map(|s| Some((s.name.clone(), s.warmup_limit?)));
+        self.fleet.set_warmup_limits(now, limits.collect());
+    }
+
     /// Removes the statistics of routes that are no longer configured.
     fn remove_stale_routes(&mut self) {
         let Some(known) = &self.configuration else { return };
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -19,3 +19,4 @@
 mod soak;
 mod spread;
 mod support;
+mod warmup;
