Leave the cost of cold leafs without a limit as it was

Cause: the cost of a leaf followed its latest entry in every deployment, also without warm-up limits, and each response with X-Warmup-Ms looked at all leafs.

Change: without a limit the entry counts that the leaf was opened with, as before; a response updates its own leaf only. Result: the tests of warm-ups and of the fleet pass.

--- a/crates/dispatch/src/fleet/leaf.rs
+++ b/crates/dispatch/src/fleet/leaf.rs
@@ -213,7 +213,7 @@
     pub(super) fn open(now: Time, id: id::Name, entry: Entry) -> Leaf {
         Leaf {
             id,
-            warmup: Warmup::default(),
+            warmup: Warmup::open(now, &entry),
             entry,
             sends: Vec::new(),
             idle: Vec::new(),
@@ -396,7 +396,7 @@
     /// connect is not included.
     pub(super) fn estimate(&self, now: Time, usual: Duration, zone: &str) -> f64 {
         let response = usual.as_secs_f64() * self.slowness(now);
-        let warmup = if self.warmup.is_cold(now) { 1.6 } else { 1.0 };
+        let warmup = if self.warmup.is_slow(now) { 1.6 } else { 1.0 };
         let work = response * warmup * self.queueing_factor(now, response);
         let distance =
             if *self.entry.zone == *zone { 0.0 } else { CROSS_ZONE_PENALTY.as_secs_f64() };
--- a/crates/dispatch/src/fleet/warmup.rs
+++ b/crates/dispatch/src/fleet/warmup.rs
@@ -15,6 +15,7 @@
 use jacinthfall_core::time::Time;
 use jacinthfall_route::leaf::{Age, Entry};
 use rand::Rng;
+use rand_chacha::ChaCha8Rng;
 
 use super::rate_limit::{Limiter, Need};
 use super::{Fleet, Key, Leaf};
@@ -57,7 +58,9 @@
 /// Warm-up of one leaf.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Warmup {
-    /// When it ends, by the leaf's entry.
+    /// When it ends, by the entry that the leaf was opened with.
+    first_until: Time,
+    /// When it ends, by the leaf's latest entry.
     entry_until: Time,
     /// When it ends, by the leaf's latest response that says so.
     response_until: Time,
@@ -68,6 +71,11 @@
 }
 
 impl Warmup {
+    /// Creates the warm-up of a leaf with an entry.
+    pub(super) fn open(now: Time, entry: &Entry) -> Warmup {
+        Warmup { first_until: now + entry.warmup, ..Warmup::default() }
+    }
+
     /// Returns when it ends.
     fn until(&self) -> Time {
         self.entry_until.max(self.response_until)
@@ -78,6 +86,12 @@
         now < self.until()
     }
 
+    /// Whether the leaf is expected to be slow. A service without a limit gets by with the entry that
+    /// the leaf was opened with.
+    pub(super) fn is_slow(&self, now: Time) -> bool {
+        now < self.first_until || self.limiter(now).is_some()
+    }
+
     /// Returns the limiter that applies now.
     fn limiter(&self, now: Time) -> Option<Limiter> {
         self.limiter.filter(|_| self.is_cold(now))
@@ -145,6 +159,26 @@
         shares.truncate(shares.len().saturating_sub(SHARE_PEAKS).max(1));
         shares.iter().sum::<f64>() / shares.len() as f64
     }
+
+    /// Gives a cold leaf a limiter if its service has a limit, else takes it away.
+    fn update_limiter(&self, now: Time, leaf: &mut Leaf, rng: &mut ChaCha8Rng) {
+        let limit = self.limits.get(&leaf.entry.service);
+        let limit = limit.filter(|_| leaf.warmup.is_cold(now));
+        let limit = limit.map(|limit| limit * USABLE_LIMIT_SHARE);
+        match (limit, &mut leaf.warmup.limiter) {
+            (Some(limit), Some(limiter)) if limiter.limit == limit => {}
+            (Some(limit), Some(limiter)) => {
+                limiter.set_limit(now, limit);
+                *limiter = limiter.with_token_lifetime(token_lifetime(limit));
+            }
+            (Some(limit), none) => {
+                // A random start, so that nodes with small shares don't send together.
+                let limiter = Limiter::open(now, limit, self.share(), rng.random());
+                *none = Some(limiter.with_token_lifetime(token_lifetime(limit)));
+            }
+            (None, limiter) => *limiter = None,
+        }
+    }
 }
 
 /// Change of a leaf with a limit while it is cold.
@@ -200,35 +234,19 @@
 
     /// Records that a response of a leaf states for how long it stays cold.
     pub fn record_warmup(&mut self, now: Time, key: Key, left: Duration) {
-        let Some(leaf) = self.leafs.get_mut(&key) else { return };
-        if !left.is_zero() {
+        let Fleet { leafs, warmups, rng, .. } = self;
+        if let Some(leaf) = leafs.get_mut(&key)
+            && !left.is_zero()
+        {
             leaf.warmup.response_until = now + left.min(MAX_WARMUP);
-            self.update_limiters(now);
+            warmups.update_limiter(now, leaf, rng);
         }
     }
 
     /// Gives each cold leaf a limiter if its service has a limit, and takes it from the others.
     fn update_limiters(&mut self, now: Time) {
         let Fleet { leafs, warmups, rng, .. } = self;
-        let share = warmups.share();
-        for leaf in leafs.values_mut() {
-            let limit = warmups.limits.get(&leaf.entry.service);
-            let limit = limit.filter(|_| leaf.warmup.is_cold(now));
-            let limit = limit.map(|limit| limit * USABLE_LIMIT_SHARE);
-            match (limit, &mut leaf.warmup.limiter) {
-                (Some(limit), Some(limiter)) if limiter.limit == limit => {}
-                (Some(limit), Some(limiter)) => {
-                    limiter.set_limit(now, limit);
-                    *limiter = limiter.with_token_lifetime(token_lifetime(limit));
-                }
-                (Some(limit), none) => {
-                    // A random start, so that nodes with small shares don't send together.
-                    let limiter = Limiter::open(now, limit, share, rng.random());
-                    *none = Some(limiter.with_token_lifetime(token_lifetime(limit)));
-                }
-                (None, limiter) => *limiter = None,
-            }
-        }
+        leafs.values_mut().for_each(|leaf| warmups.update_limiter(now, leaf, rng));
     }
 
     /// Updates this node's share of the limits on cold leafs.
