Test how evacuations spread over 300 nodes, and the order of datagrams

One node that reads the store informs 299 others within four intervals with a fifth of the datagrams lost, at 64 datagrams of a node at most in an interval.

--- a/crates/dispatch/tests/suite/evacuation.rs
+++ b/crates/dispatch/tests/suite/evacuation.rs
@@ -1,6 +1,7 @@
 //! Evacuated availability zones: what a node knows of them, and what follows for its sends.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bincode::config::standard;
@@ -12,8 +13,13 @@
 use jacinthfall_dispatch::fleet::{Candidates, Demand, Ending, Fleet, Need, Placement};
 use jacinthfall_dispatch::flight::{Answer, Outcome};
 use jacinthfall_dispatch::gossip::Datagram;
+use jacinthfall_dispatch::roster::{Node, Roster};
 use jacinthfall_route::leaf::Age;
+use rand::seq::IteratorRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
+use crate::support::deployment::node;
 use crate::support::{Bench, answer, entry, fleet, gather, sends, shards, single};
 
 const USUAL: Duration = Duration::from_millis(20);
@@ -327,3 +333,57 @@
     let [(_, second)] = sends(&actions)[..] else { panic!("one send") };
     assert_ne!(bench.fleet.leaf(second).expect("a leaf").entry.zone, zone);
 }
+
+/// Guards against a changed encoding of what older builds read.
+#[test]
+fn the_new_datagram_comes_after_those_that_older_builds_know() {
+    let encode = |datagram| bincode::serde::encode_to_vec(datagram, standard()).expect("encodes");
+
+    assert_eq!(encode(Datagram::Gossip(Vec::new()))[0], 1);
+    assert_eq!(encode(Datagram::Quarantine(Vec::new()))[0], 2);
+    assert_eq!(encode(Datagram::Evacuation(Statement::default()))[0], 3);
+}
+
+/// Guards against an evacuation that spreads too slowly, or costs too much, where a heartbeat reaches
+/// only a few of the nodes. A fifth of the datagrams is lost.
+#[test]
+fn one_node_that_reads_the_store_informs_three_hundred_within_a_second() {
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    let mut nodes: Vec<(Node, Roster, Table)> = (0..300)
+        .map(|number| {
+            let mut roster = Roster::default();
+            let others = (0..300).filter(|other| *other != number);
+            others.for_each(|other| roster.record_registration(Time(0), node(other, 5)));
+            (node(number, 5), roster, listed(&[], at(2)))
+        })
+        .collect();
+    let numbers: HashMap<SocketAddr, usize> =
+        nodes.iter().enumerate().map(|(number, (own, ..))| (own.peers, number)).collect();
+    nodes[7].2.apply(Time(0), &zone("a"), at(5), true);
+
+    // News is sent on at once, a round each; the interval is 250 ms.
+    for round in 0..4 {
+        let mut sent = Vec::new();
+        for (own, roster, table) in &mut nodes {
+            let targets = if table.take_news() {
+                roster.heartbeat_targets(own, &mut rng)
+            } else if table.is_empty() {
+                Vec::new()
+            } else {
+                let peers = roster.members().map(|member| member.node.peers);
+                peers.choose_multiple(&mut rng, 3)
+            };
+            assert!(targets.len() <= 64, "round {round}: {} targets", targets.len());
+            sent.extend(targets.into_iter().map(|target| (target, table.statement())));
+        }
+        for (target, statement) in sent {
+            if rng.random::<f64>() < 0.8 {
+                let table = &mut nodes[numbers[&target]].2;
+                table.merge(Time(0), &statement).expect("a plausible statement");
+            }
+        }
+    }
+
+    let uninformed = nodes.iter().filter(|(.., table)| table.evacuated().is_empty()).count();
+    assert_eq!(uninformed, 0);
+}
--- a/crates/dispatch/tests/suite/support/deployment.rs
+++ b/crates/dispatch/tests/suite/support/deployment.rs
@@ -102,7 +102,7 @@
 }
 
 /// Returns node `number`; in a deployment of several zones, one in eight is strong.
-fn node(number: usize, zones: usize) -> Node {
+pub fn node(number: usize, zones: usize) -> Node {
     let octets = [10, 0, (number / 250) as u8, (number % 250) as u8];
     Node {
         name: format!("node-{number:03}").into(),
