Test evacuations at nodes that were paused, and while the store is down

Both nodes of a site learn within the test's polling, whichever of them watches the store; the last state holds during an outage.

--- a/tests/gateway/evacuation.rs
+++ b/tests/gateway/evacuation.rs
@@ -1,5 +1,6 @@
 //! Availability zones that an operator evacuates.
 
+use std::thread;
 use std::time::{Duration, Instant};
 
 use jacinthfall_standin::platform::control::Change;
@@ -173,3 +174,44 @@
         assert_evacuated(&site, &leafs, node, "restored");
     }
 }
+
+/// Guards against a node that goes on with what it knew before it was paused.
+#[test]
+fn a_node_that_was_paused_learns_what_was_evacuated_and_returned_meanwhile() {
+    for paused in 0..2 {
+        let (mut site, leafs) = two_zones(&[route("safe")]);
+        start(&mut site);
+        start(&mut site);
+        set_evacuated(&site, "zone-c", true);
+        (0..2).for_each(|node| wait_for_zones(&site, node, 1));
+
+        site.nodes[paused].process.freeze();
+        set_evacuated(&site, "zone-c", false);
+        set_evacuated(&site, ZONE, true);
+        set_evacuated(&site, "zone-d", true);
+        wait_for_zones(&site, 1 - paused, 2);
+        thread::sleep(Duration::from_millis(1_500));
+        site.nodes[paused].process.resume();
+
+        // With `zone-c` still among them there would be three, or one.
+        wait_for_zones(&site, paused, 2);
+        assert_evacuated(&site, &leafs, paused, "resumed");
+    }
+}
+
+#[test]
+fn the_last_state_stays_in_force_while_the_store_is_down_and_is_replaced_afterwards() {
+    let (mut site, leafs) = two_zones(&[route("safe")]);
+    start(&mut site);
+    start(&mut site);
+    set_evacuated(&site, ZONE, true);
+    (0..2).for_each(|node| wait_for_zones(&site, node, 1));
+
+    site.change(&Change { outage: Some(true), ..Change::default() });
+    thread::sleep(Duration::from_millis(1_500));
+    (0..2).for_each(|node| assert_evacuated(&site, &leafs, node, "outage"));
+    site.change(&Change { outage: Some(false), ..Change::default() });
+    set_evacuated(&site, ZONE, false);
+
+    (0..2).for_each(|node| wait_for_zones(&site, node, 0));
+}
