Save no tokens of a very low warm-up limit for longer than one is needed

Cause: the tokens' lifetime followed the limit, their rate a least one of 0.25 a second, so a limit of 0.001 allowed 100 requests at once after an idle time.

Change: both follow the same rate. Result: two at once at most; the test failed before with 100.

--- a/crates/dispatch/src/fleet/rate_limit.rs
+++ b/crates/dispatch/src/fleet/rate_limit.rs
@@ -16,7 +16,7 @@
 
 /// Rate at which all nodes together try a leaf that accepts fewer requests, or none, in requests
 /// per second. Only a response tells that its limit has changed.
-const MIN_RATE: f64 = 0.25;
+pub(super) const MIN_RATE: f64 = 0.25;
 
 /// Maximum time until a request may be sent that is reported.
 const MAX_WAIT: Duration = Duration::from_secs(60);
--- a/crates/dispatch/src/fleet/warmup.rs
+++ b/crates/dispatch/src/fleet/warmup.rs
@@ -17,7 +17,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use super::rate_limit::{Limiter, Need};
+use super::rate_limit::{Limiter, MIN_RATE, Need};
 use super::{Fleet, Key, Leaf};
 
 /// Share of the limit that nodes use. The rest is for the coincidence of sends of many nodes that
@@ -48,11 +48,11 @@
 /// doesn't begin again when the same entry is read once more.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 
-/// Returns the time for which a token may be used, at a usable limit of more than 0 requests per
-/// second.
+/// Returns the time for which a token may be used, at a usable limit in requests per second.
 fn token_lifetime(limit: f64) -> Duration {
+    let limit = limit.max(MIN_RATE);
     let saved = SAVED_LIMIT_SHARE * limit / USABLE_LIMIT_SHARE + SAVED_TOKENS;
-    Duration::try_from_secs_f64(saved / limit).unwrap_or(MAX_WARMUP).min(MAX_WARMUP)
+    Duration::try_from_secs_f64(saved / limit).unwrap_or_default()
 }
 
 /// Warm-up of one leaf.
--- a/crates/dispatch/tests/suite/warmup.rs
+++ b/crates/dispatch/tests/suite/warmup.rs
@@ -272,3 +272,32 @@
     };
     assert_eq!(fleet.place(at, "a", &demand(&only)), Placement::Leaf(cold));
 }
+
+/// Guards against tokens that are saved up for as long as a very low limit takes to earn one.
+#[test]
+fn a_very_low_limit_allows_no_burst_after_an_idle_time() {
+    for limit in [0.001, 0.1, 0.5] {
+        let mut fleet = Fleet::open("zone-0".into(), 1);
+        fleet.set_concurrency_limits([("a".into(), 100)].into());
+        fleet.set_share(Time(0), 1.0);
+        fleet.set_warmup_limits(Time(0), [("a".into(), limit)].into());
+        update(&mut fleet, Time(0), &cold(LONG, 1));
+        let (now, all) = (Time::from_millis(1_000_000), Candidates::AllBut(Vec::new()));
+        let usual = Duration::from_millis(20);
+        let demand = Demand {
+            usual,
+            respond_by: now + 10 * SECOND,
+            candidates: &all,
+            queued: false,
+            need: Need::Required,
+        };
+
+        let mut sends = 0;
+        while let Placement::Leaf(key) = fleet.place(now, "a", &demand) {
+            fleet.record_send(now, key, usual);
+            sends += 1;
+        }
+
+        assert!((1..=2).contains(&sends), "limit {limit}: {sends} at once");
+    }
+}
