--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -4,8 +4,9 @@
 //! that it reported with its latest answer while that is recent, how slow its recent
 //! answers were, and how long it has been silent with requests in flight. `leaf` keeps
 //! this state for one leaf, `notice` what leafs say of themselves in responses, `rate_limit` a
-//! node's share of what a leaf accepts, `reach` tells which services this node has lost, and
-//! `search` compares the leafs of a service.
+//! node's share of what a leaf accepts, `reach` tells which services this node has lost, `search`
+//! compares the leafs of a service, `warmup` limits the requests to cold leafs, and `zones` tells to
+//! which availability zones nothing is sent.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -21,16 +22,20 @@
 mod rate_limit;
 mod reach;
 mod search;
+mod warmup;
+mod zones;
 
 pub use leaf::{Assessment, Change, Ending, Leaf, Report};
 pub use rate_limit::{Limiter, Need, Statement};
 pub use reach::Census;
 pub(crate) use reach::patience;
 pub use search::{Candidates, Demand, Placement};
+pub use warmup::WarmupChange;
 
 use leaf::InFlight;
 use reach::Tracker;
 use search::{CAPACITY_POLL, OVERRUN_FACTOR, Search};
+use zones::Closed;
 
 /// Share of a leaf's connections that nodes use. The rest is reserved for nodes that replace
 /// others.
@@ -68,6 +73,10 @@
     connect_time: Duration,
     /// Which services this node reaches.
     reach: Tracker,
+    /// Zones that nothing may be sent to.
+    closed: Closed,
+    /// Warm-ups of leafs, and their limits.
+    warmups: warmup::Tracker,
     /// Number of the next key.
     next_key: u64,
     rng: ChaCha8Rng,
@@ -88,6 +97,8 @@
             returns: HashMap::new(),
             connect_time: INITIAL_CONNECT_TIME,
             reach: Tracker::default(),
+            closed: Closed::default(),
+            warmups: warmup::Tracker::default(),
             next_key: 1,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -134,6 +145,7 @@
             keys.sort_unstable();
         }
         self.services = services;
+        self.update_warmups(now);
         let unused: Vec<Key> = current.into_values().collect();
         for key in &unused {
             if self.leafs.get(key).is_some_and(|leaf| leaf.sends.is_empty()) {
@@ -182,7 +194,8 @@
     /// Whether a request that was placed on a leaf may still be sent to it.
     #[must_use]
     pub fn accepts_requests(&self, now: Time, key: Key) -> bool {
-        let accepts = |leaf: &Leaf| !leaf.leaving && leaf.backoff_until <= now;
+        let accepts =
+            |leaf: &Leaf| !leaf.leaving && leaf.backoff_until <= now && !self.closed.contains(leaf);
         self.is_usable(key) && self.leafs.get(&key).is_some_and(accepts)
     }
 
@@ -210,7 +223,7 @@
         let mut search = Search::default();
         for key in keys.iter().filter(|key| demand.candidates.contains(**key)) {
             let leaf = &self.leafs[key];
-            if leaf.misdirected || leaf.leaving {
+            if leaf.misdirected || leaf.leaving || self.closed.contains(leaf) {
                 continue;
             }
             let cost = self.cost(now, leaf, demand.usual);
@@ -266,7 +279,7 @@
     /// tried now or there is none.
     #[must_use]
     pub fn available_at(&self, now: Time, service: &str) -> Option<Time> {
-        let leafs = self.leafs(service).iter().map(|key| &self.leafs[key]);
+        let leafs = self.open_leafs(service);
         let used = leafs.filter(|leaf| !leaf.misdirected && !leaf.leaving);
         let first = used.map(|leaf| leaf.paused_until.max(leaf.backoff_until)).min()?;
         (first > now).then_some(first)
@@ -281,6 +294,7 @@
             if let Some(limiter) = &mut leaf.rate_limiter {
                 limiter.record_send(now);
             }
+            leaf.warmup.record_send(now);
         }
     }
 
--- a/crates/dispatch/src/gossip.rs
+++ b/crates/dispatch/src/gossip.rs
@@ -12,6 +12,7 @@
 use jacinthfall_core::time::Time;
 use serde::{Deserialize, Serialize};
 
+use crate::evacuation;
 use crate::quarantine;
 use crate::quota;
 use crate::roster::Heartbeat;
@@ -73,6 +74,8 @@
     QuotaAsk(quota::Ask),
     /// What the sender grants.
     QuotaReply(quota::Reply),
+    /// Evacuated zones.
+    Evacuation(evacuation::Statement),
 }
 
 /// Key of a row: the route and the timeout, in milliseconds.
--- a/src/gateway/tables.rs
+++ b/src/gateway/tables.rs
@@ -12,6 +12,7 @@
 use jacinthfall_dispatch::caller_timeout::Estimator;
 use jacinthfall_dispatch::catalog::Catalog;
 use jacinthfall_dispatch::configuration::Ranks;
+use jacinthfall_dispatch::evacuation;
 use jacinthfall_dispatch::fleet::{Fleet, Key, connections_per_node};
 use jacinthfall_dispatch::flight::{Context, Timing};
 use jacinthfall_dispatch::gossip;
@@ -130,6 +131,8 @@
     pub slots: Slots,
     /// Registrations of leafs.
     pub catalog: Catalog,
+    /// Evacuated availability zones.
+    pub evacuations: evacuation::Table,
     /// Place in the store's history up to which all changes are known, but for a configuration
     /// that is expected; the start if nothing is known yet.
     pub upto: Position,
@@ -204,6 +207,7 @@
             self.ranks.is_behind() && self.ranks.time_behind(now) < MAX_CONFIGURATION_WAIT;
         self.configuration.is_some()
             && self.upto > Position::START
+            && self.evacuations.allows_requests(now)
             && !waits_for_peers
             && !waits_for_configuration
     }
@@ -265,15 +269,24 @@
     }
 
     /// Replaces the configuration in force.
-    pub fn put_in_force(&mut self, document: &Document, snapshot: Arc<Snapshot>) {
+    pub fn put_in_force(&mut self, now: Time, document: &Document, snapshot: Arc<Snapshot>) {
         let Document { edition, packed, .. } = document;
         let packed = packed.clone();
         self.ranks.put_in_force(edition.rank);
         self.configuration = Some(Configuration { edition: *edition, packed, snapshot });
         self.set_nodes(self.nodes);
+        self.set_warmup_limits(now);
         self.remove_stale_routes();
     }
 
+    /// Lets the fleet know the limits of cold leafs that the configuration in force states.
+    fn set_warmup_limits(&mut self, now: Time) {
+        let Some(known) = &self.configuration else { return };
+        let services = known.snapshot.services.values();
+        let limits = services.filter_map(|s| Some((s.name.clone(), s.warmup_limit?)));
+        self.fleet.set_warmup_limits(now, limits.collect());
+    }
+
     /// Removes the statistics of routes that are no longer configured.
     fn remove_stale_routes(&mut self) {
         let Some(known) = &self.configuration else { return };
--- a/tests/gateway/relay.rs
+++ b/tests/gateway/relay.rs
@@ -135,8 +135,8 @@
 fn a_query_of_another_node_is_not_counted_against_the_quota_again() {
     let leaf = serving_leaf("i-1", b"ok");
     let mut site = open();
-    site.tenants =
-        json!([{"name": "bank", "api-keys": ["key-bank"], "rate-per-s": 0.2, "burst": 0}]);
+    let bank = json!({"name": "bank", "api-keys": ["key-bank"], "rate-per-s": 0.2, "burst": 0});
+    site.set_organisations(json!([bank]));
     site.quotas = json!({"window_s": 5, "overage": 0.1, "slack": 20});
     site.register("i-1", "a", &leaf, 1, "ready");
     site.configure(&[route("safe")]);
