Let an organisation spread its burst over every window

Cause: a token bucket gives a burst once and the rate from then on, but the quota allows the rate and the burst in every window: at a demand above its quota for 14 s an organisation of 37 requests a second with a burst of 37 got 37 a second where 44 are allowed.

Change: a node that has granted on behalf of most nodes for a whole window also grants burst / window a second, as long as what it has granted in the latest window stays within rate x window + burst.

--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -21,6 +21,7 @@
 use serde::{Deserialize, Serialize};
 
 mod contacts;
+mod history;
 mod ledger;
 mod members;
 mod wallet;
@@ -112,6 +113,12 @@
         quota.burst + quota.rate_per_s * time + 0.5 * self.slack
     }
 
+    /// Returns the number of requests that a quota allows in a window, without the room that the
+    /// rule leaves.
+    fn most(&self, quota: &Quota) -> f64 {
+        quota.rate_per_s * self.window.as_secs_f64() + quota.burst
+    }
+
     /// Returns the maximum number of nodes that may each make a request on credit.
     fn max_creditors(&self) -> usize {
         (0.3 * self.slack) as usize
--- a/crates/dispatch/src/quota/ledger.rs
+++ b/crates/dispatch/src/quota/ledger.rs
@@ -8,6 +8,7 @@
 use jacinthfall_core::time::Time;
 use jacinthfall_route::organisation::Quota;
 
+use super::history::History;
 use super::{Ask, CREDIT_TIME, Grant, LEASE, Limit, MAX_ROWS, Organisation, Rule, Want};
 
 /// Time between two calls of [`Ledger::advance`] from which on this process counts as having been
@@ -17,6 +18,9 @@
 /// Coverage from which on a node grants on behalf of most nodes.
 const MOST: f64 = 0.5;
 
+/// Maximum number of tokens beyond the rate.
+const MAX_SPREAD: f64 = 2.0;
+
 /// Maximum number of nodes and of organisations that are tracked.
 const MAX_TRACKED: usize = 4_096;
 
@@ -45,13 +49,18 @@
     /// Lower limit that another node has stated, and until when it applies.
     stated: Option<(Limit, Time)>,
     tokens: f64,
-    /// [`Ledger::earned`] when `tokens` was updated.
+    /// Tokens beyond the rate, by which a burst may be spread over every window.
+    spread: f64,
+    /// Requests granted lately.
+    history: History,
+    /// [`Ledger::earned`] when the tokens were updated.
     earned: f64,
 }
 
 impl Account {
     fn open(earned: f64, tokens: f64) -> Account {
-        Account { own: None, stated: None, tokens, earned }
+        let (spread, history) = (0.0, History::default());
+        Account { own: None, stated: None, tokens, spread, history, earned }
     }
 
     /// Returns the limit in force.
@@ -77,13 +86,21 @@
         // A bucket that holds less than one whole token could never grant.
         let capacity = (coverage * rule.capacity(&quota)).max(1.0);
         self.tokens = self.tokens.min(capacity);
+        self.spread += quota.burst / rule.window.as_secs_f64() * time;
+        self.spread = self.spread.min(MAX_SPREAD);
     }
 
-    /// Takes up to `wanted` whole tokens, and returns how many.
-    fn take(&mut self, wanted: u16) -> u16 {
+    /// Takes up to `wanted` whole tokens, and returns how many. `most` is the number of requests
+    /// that may be granted in a window; `None` if other nodes may have granted some in this one.
+    fn take(&mut self, now: Time, rule: &Rule, wanted: u16, most: Option<f64>) -> u16 {
         let granted = self.tokens.floor().clamp(0.0, f64::from(wanted));
         self.tokens -= granted;
-        granted as u16
+        let left = most.map_or(0.0, |most| most - self.history.count(now, rule.window) - granted);
+        let extra = self.spread.min(left).floor().clamp(0.0, f64::from(wanted) - granted);
+        self.spread -= extra;
+        let taken = granted + extra;
+        self.history.record(now, rule.window, taken);
+        taken as u16
     }
 
     /// Records the limit that another node has stated.
@@ -114,6 +131,8 @@
     had_votes: bool,
     /// Whether it has granted on behalf of most nodes since the process started.
     has_begun: bool,
+    /// Since when it has done so without a break.
+    most_since: Option<Time>,
 }
 
 impl Ledger {
@@ -130,6 +149,7 @@
             advanced: Time(0),
             had_votes: false,
             has_begun: false,
+            most_since: None,
         }
     }
 
@@ -186,6 +206,11 @@
         self.advanced = now;
         let coverage = self.coverage(now);
         let had_votes = std::mem::replace(&mut self.had_votes, coverage > 0.0);
+        if coverage < MOST || passed > MAX_GAP {
+            self.most_since = None;
+        } else {
+            self.most_since.get_or_insert(now);
+        }
         // Without votes, another node grants, and may have granted all that this one has earned.
         if passed > MAX_GAP || !self.had_votes {
             if had_votes {
@@ -205,7 +230,7 @@
     fn discard_tokens(&mut self) {
         let earned = self.earned;
         for account in self.accounts.values_mut() {
-            (account.tokens, account.earned) = (0.0, earned);
+            (account.tokens, account.spread, account.earned) = (0.0, 0.0, earned);
         }
     }
 
@@ -285,15 +310,18 @@
         {
             return None;
         }
-        let earned = self.earned;
+        let (earned, rule) = (self.earned, self.rule);
+        let is_steady = self.most_since.is_some_and(|since| now.since(since) >= rule.window);
         let account =
             self.accounts.entry(want.organisation).or_insert_with(|| Account::open(earned, 0.0));
-        account.state(now, &self.rule, want.limit);
-        account.update(now, &self.rule, earned, coverage);
+        account.state(now, &rule, want.limit);
+        account.update(now, &rule, earned, coverage);
         if want.has_debt {
             account.tokens -= 1.0;
         }
-        let requests = account.take(want.requests);
+        let quota = account.quota(now);
+        let most = quota.filter(|_| is_steady).map(|quota| coverage * rule.most(&quota));
+        let requests = account.take(now, &rule, want.requests, most);
         let rate = account.quota(now).map_or(0.0, |quota| quota.rate_per_s) * coverage;
         let is_short = requests < want.requests;
         let missing = if is_short { 1.0 - account.tokens } else { 0.0 };
