--- a/crates/dispatch/src/overload/optional.rs
+++ b/crates/dispatch/src/overload/optional.rs
@@ -15,6 +15,10 @@
 /// Weight of a new observation in the moving average of the price.
 const PRICE_WEIGHT: f64 = 0.1;
 
+/// Number of parts beyond the least coverage that are sent in any case, since one of the others
+/// may be late.
+const RESERVE: usize = 1;
+
 /// Factor between the values of answers of one priority and the next less urgent one.
 const PRIORITY_FACTOR: f64 = 0.5;
 
@@ -93,7 +97,8 @@
         if self.settings.optional_parts == OptionalParts::Sent {
             return Vec::new();
         }
-        let mut spare = query.parts.len().saturating_sub(query.min_parts);
+        let spare = query.parts.len().saturating_sub(query.min_parts);
+        let mut spare = spare.saturating_sub(RESERVE);
         let unfound = query.parts.iter().filter(|(_, found)| !found).count();
         let mut spare_found = spare.saturating_sub(unfound);
         let short = self.short(now, query);
--- a/crates/dispatch/tests/suite/main.rs
+++ b/crates/dispatch/tests/suite/main.rs
@@ -15,6 +15,7 @@
 mod relay;
 mod restore;
 mod roster;
+mod shedding;
 mod shortage;
 mod support;
 mod trail;
--- a/crates/dispatch/tests/suite/support/mod.rs
+++ b/crates/dispatch/tests/suite/support/mod.rs
@@ -1,5 +1,6 @@
 //! Fixtures for the tests: leafs, routes, responses and a request with its context.
 
+pub mod cluster;
 pub mod load;
 
 use std::sync::Arc;
