--- a/crates/dispatch/tests/suite/shedding.rs
+++ b/crates/dispatch/tests/suite/shedding.rs
@@ -1,5 +1,6 @@
 //! Results for callers of several nodes when some shards are short of room.
 
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -56,13 +57,18 @@
         burst,
         duration: Duration::from_secs(12),
         settings,
+        credits: false,
         seed,
     }
 }
 
 /// Returns the sums of the results of each kind over some seeds.
-fn total(settings: Settings, seeds: std::ops::RangeInclusive<u64>) -> Vec<Results> {
-    let runs = seeds.map(|seed| std::thread::spawn(move || Run::simulate(plan(settings, seed))));
+fn total(settings: Settings, seeds: RangeInclusive<u64>) -> Vec<Results> {
+    sum(seeds.map(|seed| plan(settings, seed)))
+}
+
+fn sum(plans: impl Iterator<Item = Plan>) -> Vec<Results> {
+    let runs = plans.map(|plan| std::thread::spawn(move || Run::simulate(plan)));
     let mut sum = vec![Results::default(); 3];
     for run in runs.collect::<Vec<_>>() {
         let results = run.join().expect("a finished run");
@@ -182,4 +188,8 @@
     for (name, settings) in variants {
         print(name, &total(settings, 1..=6));
     }
+    for (name, settings) in [("credits", today()), ("these and credits", best)] {
+        let plans = (1..=6).map(|seed| Plan { credits: true, ..plan(settings, seed) });
+        print(name, &sum(plans));
+    }
 }
--- a/crates/dispatch/tests/suite/support/cluster.rs
+++ b/crates/dispatch/tests/suite/support/cluster.rs
@@ -14,6 +14,8 @@
 use jacinthfall_dispatch::fleet::{Ending, Fleet, Key, Report};
 use jacinthfall_dispatch::flight::{Action, Answer, Context, Flight, Outcome};
 use jacinthfall_dispatch::latency::Latency;
+use jacinthfall_dispatch::overload::credits::Ledger;
+use jacinthfall_dispatch::overload::shortage::Shard;
 use jacinthfall_dispatch::overload::{Settings, State};
 use jacinthfall_route::leaf::Age;
 use jacinthfall_route::snapshot::{Gather, Route, Target};
@@ -52,6 +54,9 @@
 const LATE_VALUE: f64 = 0.1;
 const RETURNED_VALUE: f64 = 0.5;
 
+/// Share of the objective within which a part must be answered to count as in time.
+const PART_SHARE: f64 = 0.85;
+
 /// A kind of request.
 #[derive(Clone)]
 pub struct Kind {
@@ -76,6 +81,8 @@
     pub duration: Duration,
     /// Mechanisms that are in use.
     pub settings: Settings,
+    /// Whether requests need credits, which the nodes get without delay.
+    pub credits: bool,
     /// Seed of the random arrivals and service times.
     pub seed: u64,
 }
@@ -188,6 +195,7 @@
     events: BinaryHeap<Reverse<(Time, u64, Event)>>,
     sequence: u64,
     nodes: Vec<Node>,
+    ledger: Ledger,
     queues: BTreeMap<Key, Queue>,
     requests: Vec<Request>,
     results: Vec<Results>,
@@ -217,6 +225,11 @@
     SocketAddr::from(([127, 0, 0, u8::try_from(node + 1).expect("few nodes")], 80))
 }
 
+/// Returns a shard by its number; the one after the last stands for the service of single requests.
+fn shard(number: usize) -> Shard {
+    Shard::of(&number.to_string())
+}
+
 /// Returns the shard and the number of a leaf, by its key.
 fn place(leaf: Key) -> (usize, usize) {
     let index = leaf.0 as usize - 1;
@@ -252,6 +265,7 @@
             events: BinaryHeap::new(),
             sequence: 0,
             nodes: nodes.collect(),
+            ledger: Ledger::default(),
             queues: BTreeMap::new(),
             requests: Vec::new(),
             results: vec![Results::default(); plan.kinds.len()],
@@ -310,6 +324,19 @@
         let node = self.rng.random_range(0..NODES);
         let state = &mut self.requests[request];
         let route = &self.plan.kinds[state.kind].route;
+        if self.plan.credits {
+            let (shards, min_parts) = match &route.target {
+                Target::Gather(gather) => {
+                    ((0..SHARDS).map(shard).collect::<Vec<_>>(), gather.min_shards())
+                }
+                Target::Service(_) | Target::Split(_) => (vec![shard(SHARDS)], 1),
+            };
+            if self.ledger.grant(now, &shards, min_parts).is_none() {
+                state.arrived = now;
+                let retry_after = route.objective.mul_f64(1.0 + state.lot);
+                return self.count(now, request, &Answer::Refused { retry_after });
+            }
+        }
         let timing = timing(state.first + route.timeout, now.since(state.first));
         state.node = node;
         state.arrived = now;
@@ -323,6 +350,11 @@
         let next = queue.waiting.pop_front();
         let requests = u32::try_from(queue.running.len() + queue.waiting.len()).expect("few");
         let took = now.since(job.sent);
+        if self.plan.credits {
+            let objective = self.plan.kinds[job.kind].route.objective;
+            let shard = shard(place(leaf).0);
+            self.ledger.take_back(now, shard, took <= objective.mul_f64(PART_SHARE));
+        }
         let node = &mut self.nodes[job.node];
         let usual = node.latencies[job.kind].quantile(0.5);
         node.fleet.record_report(leaf, Report { requests, at: now });
