Count the room that is offered past waiting requests by time

Change: with overload.queue = urgency a leaf offers as many places as it can answer in time.

A unit test plays it.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -229,18 +229,22 @@
             let available_at = available_at.max(leaf.backoff_until);
             let below_limit_at = leaf.rate_limit_until(now, demand.need);
             let limit = limit.min(leaf.sends.len() + leaf.rate_limit_free(now));
+            let per_request = demand.usual.as_secs_f64() * leaf.slowness(now)
+                / f64::from(leaf.entry.slots.max(1));
+            let fitting = self.order.fitting(max_response - cost, per_request);
             if available_at > now {
                 search.add_unavailable(available_at.max(below_limit_at));
             } else if below_limit_at > now {
                 search.add_rate_limited(below_limit_at);
             } else if leaf.sends.is_empty() {
-                search.add_available(*key, cost * (1.0 + 0.05 * self.rng.random::<f64>()), limit);
+                let free = limit.min(fitting);
+                search.add_available(*key, cost * (1.0 + 0.05 * self.rng.random::<f64>()), free);
             } else if leaf.suspect || cost > max_response {
                 search.add_unavailable(now + CAPACITY_POLL);
             } else if leaf.sends.len() >= limit {
                 search.add_loaded(limit, cost);
             } else {
-                let free = limit - leaf.sends.len();
+                let free = (limit - leaf.sends.len()).min(fitting);
                 search.add_loaded(leaf.sends.len(), cost);
                 search.add_available(*key, cost * (1.0 + 0.05 * self.rng.random::<f64>()), free);
             }
--- a/crates/dispatch/src/fleet/queue.rs
+++ b/crates/dispatch/src/fleet/queue.rs
@@ -14,6 +14,18 @@
     Urgency,
 }
 
+impl Order {
+    /// Returns the number of requests that a leaf can take at most, so that those that have no turn
+    /// yet leave the others room, if each adds `per_request` seconds to the response time of the
+    /// next one and `spare` seconds are left for the first.
+    pub(super) fn fitting(self, spare: f64, per_request: f64) -> usize {
+        match self {
+            Order::Unordered => usize::MAX,
+            Order::Urgency => 1 + (spare.max(0.0) / per_request.max(0.000_1)) as usize,
+        }
+    }
+}
+
 /// Turn of a request; a lower one comes first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Turn {
--- a/crates/dispatch/tests/suite/fleet.rs
+++ b/crates/dispatch/tests/suite/fleet.rs
@@ -3,7 +3,7 @@
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::fleet::{
-    Candidates, Change, Demand, Ending, Fleet, Key, Need, Placement, Report, Turn,
+    Candidates, Change, Demand, Ending, Fleet, Key, Need, Order, Placement, Report, Turn,
 };
 use jacinthfall_route::leaf::Age;
 
@@ -270,3 +270,27 @@
 
     assert!(place(&mut fleet, Time(2), &[]).is_some());
 }
+
+#[test]
+fn a_request_whose_turn_is_later_leaves_the_room_that_fits_in_time_to_those_that_wait() {
+    let mut fleet = fleet(&[service()], 1);
+    let key = place(&mut fleet, Time(0), &[]).expect("a leaf");
+    fleet.record_send(Time(0), key, USUAL);
+    let waiting = Turn { priority: 1, arrived: Time(1) };
+    fleet.enqueue(&service(), waiting, FAR_DEADLINE);
+    let all = untried(&[]);
+    // The leaf has three slots, but can answer only one more request in time.
+    let demand = |turn| Demand { turn, ..demand(Time::from_millis(20), &all) };
+    let later = Turn { priority: 1, arrived: Time(2) };
+
+    let unordered = fleet.place(Time(3), "a", &demand(later));
+    fleet.set_order(Order::Urgency);
+    let placed = |fleet: &mut Fleet, turn| {
+        matches!(fleet.place(Time(3), "a", &demand(turn)), Placement::Leaf(_))
+    };
+
+    assert_eq!(unordered, Placement::Leaf(key));
+    assert!(!placed(&mut fleet, later));
+    assert!(placed(&mut fleet, waiting));
+    assert!(placed(&mut fleet, Turn { priority: 0, ..later }));
+}
