Take the priority of a request from its context

Cause: an organisation's priority takes precedence over its route's.

Change: Context::priority, filled with the route's until organisations are known.

--- a/crates/dispatch/src/flight.rs
+++ b/crates/dispatch/src/flight.rs
@@ -52,6 +52,8 @@
     pub latency: &'a Latency,
     /// Shortage of shards, and what gives way to it.
     pub overload: &'a mut overload::State,
+    /// Priority of the request, 0 being the most urgent: its organisation's, else its route's.
+    pub priority: u32,
     /// Random number from 0 to 1 that is the same for a caller's request at each node.
     pub lot: f64,
     /// Whether the request must not be sent to a further leaf, because it crashes them.
@@ -86,6 +88,8 @@
     admit_by: Time,
     /// When an answer must be sent to be within the objective counted from the arrival.
     due: Time,
+    /// Priority; 0 is the most urgent.
+    priority: u32,
     /// Whether the caller has returned after a refusal.
     is_return: bool,
     /// Until when a single part may wait for a leaf that can take it.
@@ -133,6 +137,7 @@
             admit_by: admit_by.min(deadline),
             place_by: place_by.min(deadline),
             due: due.min(deadline),
+            priority: route.priority,
             is_return,
             next_admission: None,
             deadline,
@@ -190,6 +195,7 @@
         for part in &self.parts {
             context.budget.record_request(now, &part.service);
         }
+        self.priority = context.priority;
         self.bound_wait(now, context);
         if let Some(retry_after) = self.ranks_too_low(now, context) {
             self.admitted_at = Some(now);
--- a/crates/dispatch/src/flight/placement.rs
+++ b/crates/dispatch/src/flight/placement.rs
@@ -171,7 +171,7 @@
 
     /// Returns the turn of the request among those that wait for the same leafs.
     fn turn(&self) -> Turn {
-        Turn { priority: self.route.priority, arrived: self.arrived }
+        Turn { priority: self.priority, arrived: self.arrived }
     }
 
     /// Adds a part to the queue of its service unless it is queued.
--- a/crates/dispatch/src/flight/shedding.rs
+++ b/crates/dispatch/src/flight/shedding.rs
@@ -80,7 +80,7 @@
             return None;
         }
         let claim = Claim {
-            priority: self.route.priority,
+            priority: self.priority,
             work: context.latency.quantile(0.5),
             lot: context.lot,
             is_return: self.is_return,
@@ -157,6 +157,6 @@
 
     fn query<'a>(&self, parts: &'a [(Shard, bool)], context: &Context<'_>) -> Query<'a> {
         let work = context.latency.quantile(0.5);
-        Query { parts, min_parts: self.min_placed, priority: self.route.priority, work }
+        Query { parts, min_parts: self.min_placed, priority: self.priority, work }
     }
 }
--- a/crates/dispatch/tests/suite/shedding.rs
+++ b/crates/dispatch/tests/suite/shedding.rs
@@ -123,7 +123,11 @@
     let timing = timing(Time::from_millis(1_500), Duration::ZERO);
     let mut second = Flight::open(Arc::new(route), None, now, timing);
 
-    let taken = !sends(&bench.decide(|_, context| second.start(now, context))).is_empty();
+    let taken = bench.decide(|_, context| {
+        context.priority = priority;
+        second.start(now, context)
+    });
+    let taken = !sends(&taken).is_empty();
     let due = bench.flight.next_wake().max(now);
     let first = !sends(&bench.decide(|flight, context| flight.wake(due, context))).is_empty();
     (taken, first)
--- a/crates/dispatch/tests/suite/support/cluster.rs
+++ b/crates/dispatch/tests/suite/support/cluster.rs
@@ -383,7 +383,9 @@
         let (number, kind, lot) = (state.node, state.kind, state.lot);
         let Node { fleet, budget, latencies, overload } = &mut self.nodes[number];
         let latency = &latencies[kind];
-        let mut context = Context { fleet, budget, latency, overload, lot, is_quarantined: false };
+        let priority = self.plan.kinds[kind].route.priority;
+        let mut context =
+            Context { fleet, budget, latency, overload, priority, lot, is_quarantined: false };
         for action in decision(&mut flight, &mut context) {
             match action {
                 Action::Send { part, leaf } => {
--- a/crates/dispatch/tests/suite/support/load.rs
+++ b/crates/dispatch/tests/suite/support/load.rs
@@ -199,7 +199,15 @@
         let Run { fleet, budget, latency, overload, .. } = self;
         let actions = decision(
             &mut flight,
-            &mut Context { fleet, budget, latency, overload, lot: 0.5, is_quarantined: false },
+            &mut Context {
+                fleet,
+                budget,
+                latency,
+                overload,
+                priority: 1,
+                lot: 0.5,
+                is_quarantined: false,
+            },
         );
         for action in actions {
             match action {
--- a/crates/dispatch/tests/suite/support/mod.rs
+++ b/crates/dispatch/tests/suite/support/mod.rs
@@ -134,7 +134,15 @@
         let Bench { fleet, budget, latency, overload, flight } = self;
         decision(
             flight,
-            &mut Context { fleet, budget, latency, overload, lot: 0.5, is_quarantined: false },
+            &mut Context {
+                fleet,
+                budget,
+                latency,
+                overload,
+                priority: 1,
+                lot: 0.5,
+                is_quarantined: false,
+            },
         )
     }
 }
--- a/src/gateway/tables.rs
+++ b/src/gateway/tables.rs
@@ -188,7 +188,15 @@
         self.budget.set_nodes(sharing);
         let Tables { routes, fleet, budget, overload, .. } = self;
         let latency = &statistics(routes, route).latency;
-        Context { fleet, budget, latency, overload, lot: 0.5, is_quarantined: false }
+        Context {
+            fleet,
+            budget,
+            latency,
+            overload,
+            priority: route.priority,
+            lot: 0.5,
+            is_quarantined: false,
+        }
     }
 
     /// Returns the version of the configuration in force; 0 if there is none yet.
