Let nodes that start together vote for the node that grants at once

What callers saw: for 0.7 s after a loss of all nodes each request of an organisation with a quota was refused. Cause: a node that starts waits 600 ms before it lends its vote, since one of its earlier process may still count. That vote can't have been lent to a process that has started since, so the wait is left out for such a candidate. For another one, which lives on, the vote of one elector may count twice for up to 600 ms; the rule leaves room for that.

--- a/crates/dispatch/src/quota/contacts.rs
+++ b/crates/dispatch/src/quota/contacts.rs
@@ -179,12 +179,20 @@
 
     /// Returns the vote for a node, if this node has one to give.
     fn vote(&self, now: Time, name: &id::Name) -> Option<Vote> {
-        // The vote of an earlier process of this node may last until then.
-        let is_settled = now.since(Time(0)) >= LEASE;
+        let is_settled = now.since(Time(0)) >= LEASE || self.has_started_since(now, name);
         let is_free = is_settled && self.voted.as_ref().is_none_or(|(voted, _)| voted == name);
         if self.is_elector && is_free { self.statement(now, name) } else { None }
     }
 
+    /// Whether the process of another node has started since, or shortly before, this one did. The
+    /// vote of an earlier process of this node may last for [`LEASE`], but was not lent to that
+    /// one, as after a loss of all nodes.
+    fn has_started_since(&self, now: Time, name: &id::Name) -> bool {
+        let Some(clock) = self.contacts[name].clock else { return false };
+        let age = Duration::from_micros(clock.clock) + now.since(clock.received);
+        age <= now.since(Time(0)) + LEASE
+    }
+
     /// Returns the vote for a node that has it already and is to keep it.
     fn renewal(&self, now: Time, name: &id::Name) -> Option<Vote> {
         let (voted, _) = self.voted.as_ref()?;
