--- a/src/gateway/evacuation.rs
+++ b/src/gateway/evacuation.rs
@@ -21,15 +21,30 @@
     update(hub, "store", |table, now| {
         table.apply(now, &zone.into(), item.at, evacuated).into_iter().collect()
     });
+    if evacuated {
+        warn_if_ignored(hub, zone, item.at);
+    }
     true
 }
 
+/// Logs that a zone isn't evacuated although the store has its key.
+fn warn_if_ignored(hub: &Hub, zone: &str, at: Position) {
+    if !hub.tables().evacuations.evacuated().contains(zone) {
+        log::warn!(
+            "event=evacuation_ignored zone={zone:?} at={at} reason=\"a later change is known, the \
+             name isn't valid, or too many zones are evacuated; remove other op/evacuate/ keys or \
+             write the key again\""
+        );
+    }
+}
+
 /// Applies a listing that holds all keys of evacuations, as of a place.
 pub fn apply_listing(hub: &Hub, items: &[Item], upto: Position) {
     let items = items.iter().filter(|item| item.value.is_some());
     let listed: Vec<(id::Name, Position)> =
         items.filter_map(|item| Some((decode_key(&item.key)?.into(), item.at))).collect();
     update(hub, "store", |table, now| table.apply_listing(now, &listed, upto));
+    listed.iter().for_each(|(zone, at)| warn_if_ignored(hub, zone, *at));
 }
 
 /// Merges what another node states; drops what is implausible.
