State every request on credit to the node that grants

Cause: since a request on credit is stated each 100 ms only, a reply to a message that didn't state it was taken for a confirmation, and a new one within 100 ms of the last statement was not stated at all. Such requests were never deducted from the quota. Found by reading the change again.

Change: a new request on credit is stated with the next message, and only the reply to the message that stated it confirms it.

--- a/crates/dispatch/src/quota/cache.rs
+++ b/crates/dispatch/src/quota/cache.rs
@@ -137,6 +137,12 @@
         }
     }
 
+    /// Whether a request on credit is to be stated now.
+    fn is_report_due(&self, now: Time) -> bool {
+        let Some(made) = self.unreported else { return false };
+        self.reported.is_none_or(|at| at < made || now.since(at) >= REPORT_INTERVAL)
+    }
+
     /// Returns the number of requests that this node should ask for now.
     fn wanted(&mut self, now: Time, horizon: Duration) -> u16 {
         self.measure(now);
@@ -231,8 +237,7 @@
         let own = self.holdings.iter_mut().filter(|(name, _)| name.group() == group);
         let wants = own.filter_map(|(organisation, holding)| {
             let requests = holding.wanted(now, horizon);
-            let has_unreported = holding.unreported.is_some()
-                && holding.reported.is_none_or(|at| now.since(at) >= REPORT_INTERVAL);
+            let has_unreported = holding.is_report_due(now);
             if requests == 0 && !has_unreported {
                 return None;
             }
@@ -261,7 +266,8 @@
     /// nodes: one with few votes has little to grant while another one may have more.
     pub fn receive(&mut self, now: Time, asked: Time, grant: &Grant, covers_most: bool) {
         let Some(holding) = self.holdings.get_mut(&grant.organisation) else { return };
-        if holding.unreported.is_some_and(|at| at <= asked) {
+        // Replies to messages that didn't state it say nothing of the request on credit.
+        if holding.reported == Some(asked) && holding.unreported.is_some_and(|at| at <= asked) {
             holding.unreported = None;
         }
         let expires = asked + self.rule.grant_lifetime();
--- a/crates/dispatch/tests/suite/quota.rs
+++ b/crates/dispatch/tests/suite/quota.rs
@@ -4,7 +4,8 @@
 
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::quota::{
-    Ask, Decision, GROUPS, Limit, MAX_WAIT, OrganisationId, Quotas, Reply, Rule, Vote, Want,
+    Ask, Cache, Decision, GROUPS, Grant, Limit, MAX_WAIT, OrganisationId, Quotas, Reply, Rule,
+    Vote, Want,
 };
 use jacinthfall_route::organisation::Quota;
 use rand::Rng;
@@ -364,3 +365,37 @@
     assert_eq!(node.request(now, bank, &quota), Decision::Wait);
     assert!(matches!(node.retry(late, bank, now), Decision::Refuse(_)));
 }
+
+/// Guards against a request on credit that is never deducted: a reply to a message that didn't state
+/// it was taken for a confirmation.
+#[test]
+fn every_request_on_credit_is_stated_to_the_node_that_grants() {
+    let rule = Rule { window: Duration::from_secs(5), overage: 0.1, slack: 20.0 };
+    let (bank, limit) = (OrganisationId::of("bank"), Limit { rate: 1_000, burst: 0 });
+    let nothing = Grant { organisation: bank, requests: 0, wait_ms: 0 };
+    let mut cache = Cache::open(rule);
+    cache.set_credit(bank.group(), Time::from_millis(10_000));
+    let (mut on_credit, mut stated) = (0, 0);
+
+    // A request each 20 ms, of which every one waits for 15 ms in vain; each message is answered.
+    for start in (0..200).step_by(20) {
+        let arrived = Time::from_millis(start);
+        assert_eq!(cache.request(arrived, bank, limit), Decision::Wait);
+        for at in [arrived + Duration::from_millis(7), arrived + MAX_WAIT] {
+            let decision = if at == arrived + MAX_WAIT {
+                cache.retry(at, bank, arrived)
+            } else {
+                Decision::Wait
+            };
+            on_credit += usize::from(decision == Decision::Admit);
+            let wants = cache.wants(at, bank.group());
+            stated += wants.iter().filter(|want| want.has_unreported).count();
+            if !wants.is_empty() {
+                cache.receive(at, at, &nothing, true);
+            }
+        }
+    }
+
+    assert!(on_credit > 1, "{on_credit}");
+    assert_eq!(stated, on_credit);
+}
