Use one weight of a priority and one shortage in load shedding

The value by priority stood in optional and threshold, the filter of expired reports and the formula of a shortage twice in shortage.

--- a/crates/dispatch/src/overload/shortage.rs
+++ b/crates/dispatch/src/overload/shortage.rs
@@ -154,17 +154,18 @@
     /// Returns the shortage of each shard, from 0 to 1.
     #[must_use]
     pub fn shortages(&self, now: Time, shards: &[Shard]) -> Vec<f64> {
-        let fresh = self.reports.values().filter(|r| now.since(r.at) < MAX_REPORT_AGE);
-        let mut reports: Vec<(f64, &Received)> =
-            fresh.map(|report| (report.asked * weight(now.since(report.at)), report)).collect();
+        let mut reports: Vec<(f64, &Received)> = self
+            .fresh(now)
+            .map(|report| (report.asked * weight(now.since(report.at)), report))
+            .collect();
         let max_weight = 2.0 * median(reports.iter().map(|(weight, _)| *weight).collect());
         reports.iter_mut().for_each(|(weight, _)| *weight = weight.min(max_weight));
         shards.iter().map(|shard| self.shortage(now, *shard, &reports)).collect()
     }
 
     fn shortage(&self, now: Time, shard: Shard, reports: &[(f64, &Received)]) -> f64 {
-        let own = self.counts.get(&shard).map(|count| count.decayed(now));
-        let (mut asked, mut unmet) = own.map_or((0.0, 0.0), |count| (count.asked, count.unmet));
+        let none = Count { asked: 0.0, unmet: 0.0, at: now };
+        let mut count = self.counts.get(&shard).map_or(none, |count| count.decayed(now));
         let stated = |report: &Received| report.shortages.get(&shard).copied().unwrap_or(0.0);
         let highest = reports.iter().map(|(_, report)| stated(report)).fold(0.0, f64::max);
         let mut skipped = false;
@@ -174,10 +175,15 @@
                 skipped = true;
                 continue;
             }
-            asked += weight;
-            unmet += weight * shortage;
+            count.asked += weight;
+            count.unmet += weight * shortage;
         }
-        unmet / (asked + PRIOR)
+        count.shortage()
+    }
+
+    /// Iterates over the reports of other nodes that haven't expired.
+    fn fresh(&self, now: Time) -> impl Iterator<Item = &Received> {
+        self.reports.values().filter(move |report| now.since(report.at) < MAX_REPORT_AGE)
     }
 
     /// Returns what this node tells others; `None` while no shard is short here or elsewhere.
@@ -193,8 +199,7 @@
                 Row { shard: *shard, shortage }
             })
             .collect();
-        let reports = self.reports.values().filter(|r| now.since(r.at) < MAX_REPORT_AGE);
-        let is_short_elsewhere = reports.into_iter().any(|report| !report.shortages.is_empty());
+        let is_short_elsewhere = self.fresh(now).any(|report| !report.shortages.is_empty());
         if asked < 0.5 || (rows.is_empty() && !is_short_elsewhere) {
             return None;
         }
--- a/crates/dispatch/src/overload/threshold.rs
+++ b/crates/dispatch/src/overload/threshold.rs
@@ -11,6 +11,7 @@
 use jacinthfall_core::hash;
 use jacinthfall_core::time::Time;
 
+use super::optional::value;
 use super::shortage::Shard;
 use crate::quarantine::Fingerprint;
 
@@ -32,9 +33,6 @@
 /// Weight of a new request in the moving average of the work.
 const WORK_WEIGHT: f64 = 0.02;
 
-/// Priority from which on requests rank alike.
-const MAX_PRIORITY: u32 = 8;
-
 /// Returns the random number of a caller's request, from 0 to 1. It is the same on all nodes.
 ///
 /// ```
@@ -90,7 +88,7 @@
         let position = claim.lot.clamp(0.0, 1.0).powf(seconds / mean);
         let distance = 1.0 - position;
         let distance = if claim.is_return { RETURN_FACTOR * distance } else { distance };
-        let top = 0.5_f64.powf(f64::from(claim.priority.min(MAX_PRIORITY)));
+        let top = value(claim.priority);
         top * (1.0 - 0.5 * distance)
     }
 
