--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")" || exit 2
 case_folder=$PWD
 root=$(cd ../.. && pwd)
-program=$root/target/review/twice
+program=$root/target/review/copies
 if [ ! -x "$program" ] || [ ! -x "$root/target/release/jacinthfalld" ]; then
     echo "not built: run the build of deploy/system.toml and review/build.sh"
     exit 2
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in twice quarantine quota; do
+for name in copies quarantine quota; do
     rustc --edition 2021 -O -o "target/review/$name" "review/rig/$name.rs"
 done
