Send no request twice over one connection to a leaf

Cause: after a rejection the request may go back to the same leaf, and the pool hands out the connection used last, which is the one that carried the rejection. A leaf that sends a second copy of a response does so where the next response is expected. The echoed id tells a copy from the response to another request, but not from the response to a later send of the same one, so the copy counted as a second rejection and the request was sent a third time while it ran.

Evidence: by the leaf's record each copy before a second run came where the response to the same id was expected. A connection with an unread response of any id was ruled out, since sends would then end as unknown and not as rejected; so was a send after an unknown end, which has no rejection to copy.

Change: a connection remembers the requests that it has carried until their deadlines (dispatch::attribution), and the pool hands it out for others only. If the limit on connections is reached, the idle one used longest ago makes room. Since the connection remembers, this covers the second round after a refusal too, and callers that use an id twice within its deadline.

The test leaf now echoes the request id in rejections, as PROTOCOL.md says.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,10 +6,12 @@
 //! [`flight`] drives one request from its arrival to its answer, and [`merge`] merges the
 //! parts of a query over shards. [`split`] distributes requests over services by weight,
 //! [`caller_timeout`] estimates how long a caller has been waiting, and [`gossip`] spreads what
-//! it rests on over the nodes; [`round_trip`] estimates how far away the caller is. [`roster`] tracks the other nodes and selects those that callers
-//! may use, by what these say of the leafs that they [`reach`]. [`relay`] chooses nodes that serve
+//! it rests on over the nodes; [`round_trip`] estimates how far away the caller is. [`roster`]
+//! tracks the other nodes and selects those that callers may use, by what these say of the leafs
+//! that they [`reach`]. [`relay`] chooses nodes that serve
 //! on behalf of one that has lost its leafs. [`overload`] decides what gives way while leafs are
-//! short of room. [`quarantine`] tells requests that crash leafs.
+//! short of room. [`quarantine`] tells requests that crash leafs. [`attribution`] tells which
+//! request a leaf's response belongs to.
 //! [`quota`] limits what organisations send to all nodes together, and [`evacuation`] holds the
 //! availability zones that nothing may be sent to. [`transfer`] spreads a large document over the
 //! nodes, and [`configuration`] orders the versions of the one that it is for.
@@ -17,6 +19,7 @@
 //! Nothing here opens a socket, reads a clock or starts a thread: the current time is an
 //! argument of every call, and sending is left to the caller.
 
+pub mod attribution;
 pub mod budget;
 pub mod caller_timeout;
 pub mod catalog;
--- a/crates/dispatch/tests/suite/main.rs
+++ b/crates/dispatch/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decision core of routed requests, without I/O and in virtual time.
 
+mod attribution;
 mod budget;
 mod caller_timeout;
 mod callers;
--- a/crates/testkit/src/gateway/leaf.rs
+++ b/crates/testkit/src/gateway/leaf.rs
@@ -1,8 +1,9 @@
 //! A leaf that speaks HTTP/1.1 and can be made to misbehave.
 
+use std::collections::HashSet;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -21,6 +22,8 @@
     Fail,
     /// Refuses the request without running it.
     Reject,
+    /// Refuses each request once, and answers it with its id when it is sent again.
+    RejectFirst,
     /// Runs the request and closes the connection without an answer.
     Drop,
     /// Runs the request and sends only part of the announced body.
@@ -110,6 +113,10 @@
     headers: Mutex<String>,
     runs: Mutex<Vec<Run>>,
     rejections: Mutex<Vec<Instant>>,
+    /// Ids of the requests that [`Behaviour::RejectFirst`] has refused.
+    rejected: Mutex<HashSet<String>>,
+    /// Whether a second copy of each response is sent, late.
+    copies: AtomicBool,
     connections: AtomicUsize,
     closed_connections: Mutex<usize>,
     /// Open connections, and some that have been closed.
@@ -141,6 +148,8 @@
             headers: Mutex::default(),
             runs: Mutex::default(),
             rejections: Mutex::default(),
+            rejected: Mutex::default(),
+            copies: AtomicBool::default(),
             connections: AtomicUsize::default(),
             closed_connections: Mutex::default(),
             open: Mutex::default(),
@@ -222,6 +231,12 @@
         *self.state.headers.lock().expect("not poisoned") = headers.to_owned();
     }
 
+    /// Sets whether the leaf sends a second copy of each further response, at the point where the
+    /// next response on the connection is expected.
+    pub fn set_copies(&self, copies: bool) {
+        self.state.copies.store(copies, Ordering::Relaxed);
+    }
+
     /// Changes the leaf's id, as if another leaf had taken over its address.
     ///
     /// # Panics
@@ -269,14 +284,40 @@
 
 fn serve(state: &State, stream: TcpStream) {
     let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
-    let mut writer = stream;
+    let mut writer = Writer { stream, copy: None };
     while let Some(run) = read_request(&mut reader) {
-        if answer(state, &run, &mut reader, &mut writer).is_none() {
+        let is_copied = state.copies.load(Ordering::Relaxed);
+        if writer.send_copy().is_none() || answer(state, &run, &mut reader, &mut writer).is_none() {
             break;
         }
+        writer.copy.take_if(|_| !is_copied);
     }
     // The state holds another handle. An error means that the connection is closed already.
-    let _ = writer.shutdown(Shutdown::Both);
+    let _ = writer.stream.shutdown(Shutdown::Both);
+}
+
+/// Sends responses over a connection.
+struct Writer {
+    stream: TcpStream,
+    /// The latest complete response.
+    copy: Option<Vec<u8>>,
+}
+
+impl Writer {
+    /// Sends a complete response; `None` if the connection ended.
+    fn send(&mut self, head: &str, body: &[u8]) -> Option<()> {
+        let head = format!("{head}content-length: {}\r\n\r\n", body.len());
+        let bytes = [head.as_bytes(), body].concat();
+        self.stream.write_all(&bytes).ok()?;
+        self.copy = Some(bytes);
+        Some(())
+    }
+
+    /// Sends the latest response once more, if there is one to send.
+    fn send_copy(&mut self) -> Option<()> {
+        let copy = self.copy.take().unwrap_or_default();
+        self.stream.write_all(&copy).ok()
+    }
 }
 
 /// Reads a request; `None` if the connection ended.
@@ -299,28 +340,44 @@
     Some(run)
 }
 
+/// Whether the leaf refuses a request without running it.
+fn is_rejected(state: &State, behaviour: &Behaviour, id: &str) -> bool {
+    match behaviour {
+        Behaviour::Reject => true,
+        Behaviour::RejectFirst => {
+            state.rejected.lock().expect("not poisoned").insert(id.to_owned())
+        }
+        _ => false,
+    }
+}
+
 /// Answers a request; `None` ends the connection.
 fn answer(
     state: &State,
     run: &Run,
     reader: &mut BufReader<TcpStream>,
-    writer: &mut TcpStream,
+    writer: &mut Writer,
 ) -> Option<()> {
     let id = run.header("x-request-id").unwrap_or_default();
     let own = state.id.lock().expect("not poisoned").clone();
     let headers = state.headers.lock().expect("not poisoned").clone();
     if run.header("x-expect-instance").is_some_and(|expected| expected != own) {
-        let text = format!("HTTP/1.1 421 Misdirected Request\r\nx-instance-id: {own}\r\n{headers}");
-        return send(writer, &text, b"");
+        let text = format!(
+            "HTTP/1.1 421 Misdirected Request\r\nx-request-id: {id}\r\nx-instance-id: {own}\r\n\
+             {headers}"
+        );
+        return writer.send(&text, b"");
     }
     let behaviour = state.behaviour.lock().expect("not poisoned").clone();
     if run.target() == HEALTH && behaviour != Behaviour::Silent {
-        return send(writer, &format!("HTTP/1.1 200 OK\r\nx-instance-id: {own}\r\n"), b"");
+        return writer.send(&format!("HTTP/1.1 200 OK\r\nx-instance-id: {own}\r\n"), b"");
     }
-    if behaviour == Behaviour::Reject {
+    if is_rejected(state, &behaviour, &id) {
         state.rejections.lock().expect("not poisoned").push(Instant::now());
-        let text = format!("HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\n{headers}");
-        return send(writer, &text, b"");
+        let text = format!(
+            "HTTP/1.1 503 Service Unavailable\r\nx-request-id: {id}\r\nx-not-run: 1\r\n{headers}"
+        );
+        return writer.send(&text, b"");
     }
     state.runs.lock().expect("not poisoned").push(run.clone());
     let stamp = format!("{own}.{id}");
@@ -329,45 +386,46 @@
          {headers}"
     );
     match behaviour {
-        Behaviour::Serve(body) => send(writer, &ok, &body),
+        Behaviour::Serve(body) => writer.send(&ok, &body),
+        Behaviour::RejectFirst => writer.send(&ok, id.as_bytes()),
         Behaviour::Echo(delay) => {
             thread::sleep(delay);
-            send(writer, &ok, id.as_bytes())
+            writer.send(&ok, id.as_bytes())
         }
         Behaviour::Fail => {
             let head = ok.replace("200 OK", "500 Internal Server Error");
-            send(writer, &head, b"failed")
+            writer.send(&head, b"failed")
         }
         Behaviour::Drop | Behaviour::Reject => None,
         Behaviour::Truncate => {
             let text = format!("{ok}content-length: 100\r\n\r\nhalf");
-            writer.write_all(text.as_bytes()).ok()?;
+            writer.stream.write_all(text.as_bytes()).ok()?;
             None
         }
         Behaviour::Unframed(body) => {
             let text = format!("{ok}connection: close\r\n\r\n");
-            writer.write_all(text.as_bytes()).ok()?;
-            writer.write_all(&body).ok()?;
+            writer.stream.write_all(text.as_bytes()).ok()?;
+            writer.stream.write_all(&body).ok()?;
             None
         }
         Behaviour::Twice(body) => {
-            send(writer, &ok, &body)?;
-            send(writer, &ok, b"again")
+            writer.send(&ok, &body)?;
+            writer.send(&ok, b"again")
         }
-        Behaviour::Foreign => send(writer, &ok.replace(&id, "another-request"), b"not yours"),
-        Behaviour::Encoded => send(writer, &format!("{ok}content-encoding: gzip\r\n"), b"??"),
+        Behaviour::Foreign => writer.send(&ok.replace(&id, "another-request"), b"not yours"),
+        Behaviour::Encoded => writer.send(&format!("{ok}content-encoding: gzip\r\n"), b"??"),
         Behaviour::Endless(kind) => {
             let (first, repeated) = kind.bytes(&ok);
-            writer.write_all(first.as_bytes()).ok()?;
-            while writer.write_all(&repeated).is_ok() {}
+            writer.stream.write_all(first.as_bytes()).ok()?;
+            while writer.stream.write_all(&repeated).is_ok() {}
             *state.closed_connections.lock().expect("not poisoned") += 1;
             None
         }
         Behaviour::CrashOn(target, pause) => {
             if run.target() != target {
-                return send(writer, &ok, id.as_bytes());
+                return writer.send(&ok, id.as_bytes());
             }
-            crash(state, writer.local_addr().ok()?, pause);
+            crash(state, writer.stream.local_addr().ok()?, pause);
             None
         }
         Behaviour::Silent => {
@@ -380,9 +438,3 @@
         }
     }
 }
-
-fn send(writer: &mut TcpStream, head: &str, body: &[u8]) -> Option<()> {
-    let head = format!("{head}content-length: {}\r\n\r\n", body.len());
-    let bytes = [head.as_bytes(), body].concat();
-    writer.write_all(&bytes).ok()
-}
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -16,6 +16,8 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use jacinthfall_core::time::Time;
+use jacinthfall_dispatch::attribution::{Carried, Id};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -101,6 +103,7 @@
 pub struct Sender {
     requests: http1::SendRequest<Full<Bytes>>,
     allowance: Arc<Allowance>,
+    carried: Carried,
 }
 
 impl Sender {
@@ -125,7 +128,7 @@
             drop(closed);
         });
         requests.ready().await?;
-        Ok(Sender { requests, allowance })
+        Ok(Sender { requests, allowance, carried: Carried::default() })
     }
 
     /// Whether the connection is closed.
@@ -140,6 +143,22 @@
         self.requests.is_ready()
     }
 
+    /// Whether the connection may carry a request. It carries none twice, since a late copy of the
+    /// first response couldn't be told from the second one.
+    #[must_use]
+    pub fn may_carry(&self, now: Time, id: Id) -> bool {
+        self.carried.allows(now, id)
+    }
+
+    /// Records that the connection carries a request, which may be sent again until `deadline`.
+    ///
+    /// # Panics
+    ///
+    /// If it must not carry it; see [`Sender::may_carry`].
+    pub fn record_carried(&mut self, now: Time, id: Id, deadline: Time) {
+        self.carried.record(now, id, deadline);
+    }
+
     /// Sends a request and receives the whole response.
     ///
     /// # Errors
--- a/src/gateway/leafs.rs
+++ b/src/gateway/leafs.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 use jacinthfall_adapter::header;
 use jacinthfall_core::time::Time;
+use jacinthfall_dispatch::attribution::Id;
 use jacinthfall_dispatch::caller_timeout::Connection;
 use jacinthfall_dispatch::fleet::{Ending, Key};
 use jacinthfall_dispatch::flight::{Outcome, Reply, Timing};
@@ -96,11 +97,17 @@
     headers.remove(CONTENT_LENGTH);
 }
 
-/// Returns an idle or new connection to a leaf, or why there is none.
-async fn acquire(hub: &Hub, key: Key, address: SocketAddr, limit: usize) -> Result<Sender, Ending> {
+/// Returns an idle or new connection to a leaf that may carry a request, or why there is none.
+async fn acquire(
+    hub: &Hub,
+    key: Key,
+    address: SocketAddr,
+    limit: usize,
+    id: Id,
+) -> Result<Sender, Ending> {
     let give_up_at = hub.instant(hub.now() + MAX_CONNECTION_WAIT);
     loop {
-        if let Some(sender) = hub.pool.pop_idle(key, hub.now()) {
+        if let Some(sender) = hub.pool.pop_idle(key, hub.now(), id) {
             return Ok(sender);
         }
         if let Some(permit) = hub.pool.reserve(key, limit) {
@@ -113,6 +120,8 @@
             return dialled.map_err(DialError::ending);
         }
         let released = hub.pool.released(key);
+        // Idle connections that must not carry the request make room for one that may.
+        hub.pool.close_oldest(key);
         timeout_at(give_up_at, released.notified()).await.map_err(|_| Ending::Busy)?;
     }
 }
@@ -149,7 +158,7 @@
     before_write: impl FnOnce(),
 ) -> Outcome {
     let mut guard = Guard { hub, key, sent, ending: Ending::Cancelled };
-    let Some((id, address, limit)) = ({
+    let Some((leaf, address, limit)) = ({
         let tables = hub.tables();
         tables.fleet.leaf(key).map(|leaf| {
             let limit = tables.fleet.concurrency_limit(&leaf.entry.service);
@@ -158,7 +167,8 @@
     }) else {
         return Outcome::Unsent;
     };
-    let mut sender = match acquire(hub, key, address, limit).await {
+    let request_id = Id::of(outbound.id.as_bytes());
+    let mut sender = match acquire(hub, key, address, limit, request_id).await {
         Ok(sender) => sender,
         Err(ending) => {
             guard.ending = ending;
@@ -170,9 +180,10 @@
         hub.release(key, sender, now, DEFAULT_IDLE_TIMEOUT);
         return Outcome::Unsent;
     }
-    let Some(request) = build_request(outbound, &id, now) else {
+    let Some(request) = build_request(outbound, &leaf, now) else {
         return Outcome::Unsent;
     };
+    sender.record_carried(now, request_id, outbound.timing.deadline);
     before_write();
     let exchange = sender.exchange(request, &hub.received);
     match timeout_at(hub.instant(outbound.timing.deadline), exchange).await {
@@ -183,7 +194,7 @@
         }
         Ok(Err(connection::Error::Unsent)) => Outcome::Unsent,
         Ok(Err(reason)) => {
-            log::debug!("exchange with leaf {id} failed after the request was sent: {reason}");
+            log::debug!("exchange with leaf {leaf} failed after the request was sent: {reason}");
             guard.ending = Ending::Broken;
             crashes::check(hub, Break::open(hub, outbound, key, now));
             Outcome::Unknown
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use jacinthfall_core::time::Time;
+use jacinthfall_dispatch::attribution::Id;
 use jacinthfall_dispatch::fleet::{Ending, Key};
 use jacinthfall_net::stream;
 use tokio::sync::Notify;
@@ -41,6 +42,12 @@
     expires: Time,
 }
 
+impl Idle {
+    fn is_usable(&self, now: Time) -> bool {
+        self.expires > now && self.sender.is_ready()
+    }
+}
+
 /// Connections to one leaf.
 #[derive(Debug, Default)]
 struct Connections {
@@ -114,18 +121,31 @@
         drop(expired);
     }
 
-    /// Takes the most recently used idle connection to a leaf, if there is one.
-    pub fn pop_idle(&self, key: Key, now: Time) -> Option<Sender> {
+    /// Takes the most recently used idle connection to a leaf that may carry a request, if there
+    /// is one.
+    pub fn pop_idle(&self, key: Key, now: Time, id: Id) -> Option<Sender> {
         let mut leafs = lock(&self.leafs);
-        let connections = leafs.get_mut(&key)?;
-        while let Some(idle) = connections.idle.pop() {
-            if idle.expires > now && idle.sender.is_ready() {
-                return Some(idle.sender);
+        let idle = &mut leafs.get_mut(&key)?.idle;
+        for position in (0..idle.len()).rev() {
+            if !idle[position].is_usable(now) {
+                idle.remove(position);
+            } else if idle[position].sender.may_carry(now, id) {
+                return Some(idle.remove(position).sender);
             }
         }
         None
     }
 
+    /// Closes the idle connection to a leaf that was used longest ago, so that another one can be
+    /// opened.
+    pub fn close_oldest(&self, key: Key) {
+        let mut leafs = lock(&self.leafs);
+        let Some(connections) = leafs.get_mut(&key) else { return };
+        if !connections.idle.is_empty() {
+            connections.idle.remove(0);
+        }
+    }
+
     /// Reserves a new connection to a leaf, unless `limit` connections to it are open.
     pub fn reserve(&self, key: Key, limit: usize) -> Option<Permit> {
         let mut leafs = lock(&self.leafs);
--- /dev/null
+++ b/tests/gateway/copies.rs
@@ -0,0 +1,65 @@
+//! Leafs that send a second copy of a response, late, where the next response is expected.
+
+use jacinthfall_testkit::gateway::leaf::{Behaviour, Leaf, Run};
+use jacinthfall_testkit::gateway::site::{Request, Response, Site, route};
+use serde_json::{Value, json};
+
+use crate::support::{open, serving};
+
+/// A route to one leaf, which a request is sent to again after a rejection.
+fn single_attempt(kind: &str) -> Value {
+    let mut route = route(kind);
+    route["attempts"] = json!(1);
+    route
+}
+
+/// Starts a leaf that rejects each request once and sends a late copy of each response.
+fn copying_leaf() -> Leaf {
+    let leaf = Leaf::spawn("i-1", Behaviour::RejectFirst);
+    leaf.set_copies(true);
+    leaf
+}
+
+fn post(site: &Site, id: &str) -> Response {
+    site.ask(0, &Request { method: "POST", id, ..Request::default() })
+}
+
+fn runs_of(leaf: &Leaf, id: &str) -> usize {
+    let is_own = |run: &&Run| run.header("x-request-id").as_deref() == Some(id);
+    leaf.runs().iter().filter(is_own).count()
+}
+
+/// A late copy of a rejection was taken for the response to the next send of the same request,
+/// which was then sent a third time while it ran.
+#[test]
+fn a_late_copy_of_a_rejection_never_answers_the_next_send_of_the_same_request() {
+    let leaf = copying_leaf();
+    let site = serving(&[single_attempt("unsafe")], &[("i-1", "a", &leaf)]);
+
+    for number in 0..20 {
+        let id = format!("r-{number}");
+        let response = post(&site, &id);
+
+        let runs = runs_of(&leaf, &id);
+        assert!(runs <= 1, "{id} ran {runs} times; answered {}", response.status);
+        assert!(response.status != 503 || runs == 0, "{id} was refused and has run");
+    }
+    let served = |run: &Run| run.header("x-request-id").is_some();
+    assert!(leaf.runs().iter().any(served), "requests are sent again after a rejection");
+}
+
+/// A rejected request must not wait in vain for a connection that has not carried it.
+#[test]
+fn a_rejected_request_gets_another_connection_where_only_one_is_allowed() {
+    let leaf = Leaf::spawn("i-1", Behaviour::RejectFirst);
+    let mut site = open();
+    site.register("i-1", "a", &leaf, 1, "ready");
+    site.configure_with(&[single_attempt("unsafe")], &json!({ "max-connections": 1 }));
+    site.start();
+    site.wait_ready(0);
+
+    let response = post(&site, "r-1");
+
+    assert_eq!((response.status, &response.body[..]), (200, &b"r-1"[..]));
+    assert_eq!((runs_of(&leaf, "r-1"), leaf.connections()), (1, 2));
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod callers;
 mod changes;
+mod copies;
 mod cut_off;
 mod endless;
 mod evacuation;
