Give the nodes of each test site a loopback address of their own

The soak kills nodes, the others send them heartbeats for a while, and a node of a site that starts meanwhile may get the port. The sites then become one.

Now a site's nodes listen on a loopback address that follows from the process and the number of the site.

--- a/crates/testkit/src/gateway/site.rs
+++ b/crates/testkit/src/gateway/site.rs
@@ -1,7 +1,7 @@
 //! Sites of gateway nodes: a store, leafs and node processes.
 
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -53,6 +53,8 @@
     pub quotas: Value,
     program: PathBuf,
     folder: PathBuf,
+    /// Address of all nodes.
+    host: Ipv4Addr,
     started: usize,
     version: u64,
     /// Organisations of the configurations that are written; `None` for none.
@@ -88,6 +90,7 @@
             quotas: Value::Null,
             program: program.into(),
             folder,
+            host: host(std::process::id(), number),
             started: 0,
             version: 0,
             organisations: None,
@@ -246,13 +249,14 @@
         let name = format!("node-{}", self.started);
         self.started += 1;
         let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
+        let listen = SocketAddr::from((self.host, 0));
         let settings = json!({
             "node": name,
             "zone": "z",
-            "callers": {"listen": "127.0.0.1:0"},
-            "readiness": {"listen": "127.0.0.1:0"},
-            "addresses": {"listen": "127.0.0.1:0"},
-            "peers": {"listen": "127.0.0.1:0", "seeds": seeds.join(",")},
+            "callers": {"listen": listen},
+            "readiness": {"listen": listen},
+            "addresses": {"listen": listen},
+            "peers": {"listen": listen, "seeds": seeds.join(",")},
             "store": {"address": store},
             "extra": {"ratio": 0.2, "floor": 1_000.0, "window_s": 10},
             "capacity": {"cores": 1.0, "link_mbps": 1_000.0},
@@ -294,6 +298,14 @@
     }
 }
 
+/// Returns a loopback address for the nodes of one site. A node that is gone is sent heartbeats for
+/// a while; if a node of another site got its port, the two sites would become one.
+fn host(process: u32, site: u32) -> Ipv4Addr {
+    let [.., third, fourth] = process.to_be_bytes();
+    let second = 1 + (site % 254) as u8;
+    Ipv4Addr::new(127, second, third, fourth)
+}
+
 /// Sets fields of an object to those of another one.
 fn set_fields(object: &mut Value, fields: &Value) {
     for (name, value) in fields.as_object().expect("an object") {
