Let leafs of the soak reject requests once and send late copies

The soak had leafs that reject and leafs that answer with a foreign id, but no second copy of a response where the next one is expected. A thread with a random sequence of its own switches both on at random leafs, so that the other faults of a seed stay the same.

--- a/crates/testkit/src/gateway/soak.rs
+++ b/crates/testkit/src/gateway/soak.rs
@@ -122,7 +122,10 @@
         thread::spawn(move || vary_behaviour(&leafs_shared, &leafs, plan.seed))
     };
     let notices_shared = Arc::clone(&shared);
+    let copying = leafs.clone();
     let notices_thread = thread::spawn(move || vary_notices(&notices_shared, &leafs, plan.seed));
+    let copies_shared = Arc::clone(&shared);
+    let copies_thread = thread::spawn(move || vary_copies(&copies_shared, &copying, plan.seed));
     let links_shared = Arc::clone(&shared);
     let links = Arc::clone(&soak.links);
     let links_thread = thread::spawn(move || vary_links(&links_shared, &links, plan.seed));
@@ -131,7 +134,7 @@
         soak.inject_fault();
     }
     shared.leafs_healed.store(true, Ordering::Relaxed);
-    for thread in [leafs_thread, notices_thread, links_thread] {
+    for thread in [leafs_thread, notices_thread, copies_thread, links_thread] {
         if thread.join().is_err() {
             shared.record_violation("a thread that injects faults panicked".to_owned());
         }
@@ -196,6 +199,22 @@
     }
 }
 
+/// Lets random leafs send late copies of their responses, and reject requests once, until
+/// `leafs_healed` is set. It has a random sequence of its own, so that the other faults of a seed
+/// stay the same.
+fn vary_copies(shared: &Shared, leafs: &[Leaf], seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x0063_6f70_6965);
+    while !shared.leafs_healed.load(Ordering::Relaxed) {
+        let leaf = leafs.choose(&mut rng).expect("there are leafs");
+        let copies = rng.random_bool(0.4);
+        leaf.set_copies(copies);
+        if copies {
+            leaf.set_behaviour(Behaviour::RejectFirst);
+        }
+        thread::sleep(Duration::from_millis(rng.random_range(5..120)));
+    }
+}
+
 /// Cuts the links of some nodes to leafs again and again, until `leafs_healed` is set. It has a
 /// random sequence of its own, so that the other faults of a seed stay the same.
 fn vary_links(shared: &Shared, links: &[Proxy], seed: u64) {
@@ -605,6 +624,7 @@
             let leaf = &self.servers[index].leaf;
             leaf.set_behaviour(Behaviour::Echo(Duration::from_millis(3)));
             leaf.set_headers("");
+            leaf.set_copies(false);
         }
     }
 
