Use connections of health checks for no request

What callers saw: a request that must not run twice ran twice, after a leaf that the node had lost rejected the health check that found it again, and sent a second copy of that rejection.

The connection of a health check went to the pool, and the response to a health check has no request id, so that its copy passed for the response to the next request. A leaf rejects health checks in the same way as requests (PROTOCOL.md).

Now the connection is closed after the health check.

Test: gateway copies::a_late_copy_of_a_rejected_health_check_never_answers_a_ request.

--- a/crates/testkit/src/gateway/leaf.rs
+++ b/crates/testkit/src/gateway/leaf.rs
@@ -369,16 +369,15 @@
         return writer.send(&text, b"");
     }
     let behaviour = state.behaviour.lock().expect("not poisoned").clone();
-    if run.target() == HEALTH && behaviour != Behaviour::Silent {
-        return writer.send(&format!("HTTP/1.1 200 OK\r\nx-instance-id: {own}\r\n"), b"");
-    }
     if is_rejected(state, &behaviour, &id) {
         state.rejections.lock().expect("not poisoned").push(Instant::now());
-        let text = format!(
-            "HTTP/1.1 503 Service Unavailable\r\nx-request-id: {id}\r\nx-not-run: 1\r\n{headers}"
-        );
+        let echo = if id.is_empty() { String::new() } else { format!("x-request-id: {id}\r\n") };
+        let text = format!("HTTP/1.1 503 Service Unavailable\r\n{echo}x-not-run: 1\r\n{headers}");
         return writer.send(&text, b"");
     }
+    if run.target() == HEALTH && behaviour != Behaviour::Silent {
+        return writer.send(&format!("HTTP/1.1 200 OK\r\nx-instance-id: {own}\r\n"), b"");
+    }
     state.runs.lock().expect("not poisoned").push(run.clone());
     let stamp = format!("{own}.{id}");
     let ok = format!(
--- a/src/gateway/probes.rs
+++ b/src/gateway/probes.rs
@@ -3,6 +3,9 @@
 //! Requests that need lost services go through other nodes, so they don't show it. Instead, this
 //! node asks a few lost leafs for their health at each maintenance tick. Any response will do, since
 //! a connection alone may be accepted on behalf of a leaf that gets nothing.
+//!
+//! The connection of a health check isn't used for requests: the response names no request, so that
+//! a late copy of it would pass for the response to any.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,7 +20,7 @@
 
 use super::hub::Hub;
 use super::notices;
-use super::pool::{self, DEFAULT_IDLE_TIMEOUT};
+use super::pool;
 
 /// Maximum time for a response to a health check.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -62,7 +65,7 @@
     }
 }
 
-/// Asks a leaf for its health on a new connection; `None` if there is no response.
+/// Asks a leaf for its health on a connection of its own; `None` if there is no response.
 async fn check(hub: &Hub, probe: &Probe) -> Option<()> {
     let permit = hub.pool.reserve(probe.leaf, usize::MAX)?;
     let started = hub.now();
@@ -77,6 +80,5 @@
     if response.status() != StatusCode::MISDIRECTED_REQUEST {
         notices::record_warmup(hub, probe.leaf, response.headers());
     }
-    hub.release(probe.leaf, sender, hub.now(), DEFAULT_IDLE_TIMEOUT);
     Some(())
 }
--- a/tests/gateway/copies.rs
+++ b/tests/gateway/copies.rs
@@ -1,11 +1,18 @@
 //! Leafs that send a second copy of a response, late, where the next response is expected.
 
+use std::time::Duration;
+
 use jacinthfall_testkit::gateway::leaf::{Behaviour, Leaf, Run};
-use jacinthfall_testkit::gateway::site::{Request, Response, Site, route};
+use jacinthfall_testkit::gateway::proxy::Fault;
+use jacinthfall_testkit::gateway::site::{Request, Response, Site, metric, route, wait_for};
 use serde_json::{Value, json};
 
+use crate::cut_off::Cut;
 use crate::support::{open, serving};
 
+/// Work of a leaf, long enough for a further send to arrive meanwhile.
+const WORK: Duration = Duration::from_millis(100);
+
 /// A route to one leaf, which a request is sent to again after a rejection.
 fn single_attempt(kind: &str) -> Value {
     let mut route = route(kind);
@@ -63,3 +70,32 @@
     assert_eq!((response.status, &response.body[..]), (200, &b"r-1"[..]));
     assert_eq!((runs_of(&leaf, "r-1"), leaf.connections()), (1, 2));
 }
+
+/// Waits until the first node counts this many services as lost, and sends it requests meanwhile.
+fn wait_for_lost_services(site: &Site, count: f64) {
+    wait_for("the node to know what it has lost", || {
+        site.ask(0, &Request { id: "before", deadline_ms: 100, ..Request::default() });
+        metric(&site.nodes[0], "jacinthfall_services_lost") == Some(count)
+    });
+}
+
+/// The response to a health check names no request, so that its late copy passed for the response to
+/// any request on the connection.
+#[test]
+fn a_late_copy_of_a_rejected_health_check_never_answers_a_request() {
+    let cut = Cut::open(&[single_attempt("unsafe")], &["a"], 0);
+    let (site, leaf) = (&cut.site, &cut.leafs[0]);
+    cut.set_fault(Fault::Blackhole);
+    wait_for_lost_services(site, 1.0);
+    leaf.set_copies(true);
+    leaf.set_behaviour(Behaviour::RejectFirst);
+    cut.set_fault(Fault::None);
+    wait_for("the health check", || {
+        metric(&site.nodes[0], "jacinthfall_services_lost") == Some(0.0)
+    });
+    leaf.set_behaviour(Behaviour::Echo(WORK));
+
+    let response = post(site, "r-1");
+
+    assert_eq!((response.status, runs_of(leaf, "r-1")), (200, 1));
+}
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -76,7 +76,8 @@
         Cut { site, leafs, services, proxies }
     }
 
-    fn set_fault(&self, fault: Fault) {
+    /// Sets the fault of the links between the first node and the leafs.
+    pub fn set_fault(&self, fault: Fault) {
         self.proxies.iter().for_each(|proxy| proxy.set_fault(fault));
     }
 
