Believe nothing of a response that doesn't name the request

Cause: a response counted as that of the waiting request unless it named another one, so bytes that name none passed: as a success, and as a rejection too, after which a request that must not run twice was sent again while it ran. Its load, rate limit and time to come back were believed.

Ruled out: a copy read as a part of the body before it.

Change: a response counts only if it names the request, once. All others end the send as unknown and close the connection; a line (response_unattributed) and a counter name the leaf. The warm-up in the response to a health check counts only if the response names the leaf. Bytes of any kind still show that the link works, so that a site whose leafs never echo the id isn't taken for one that is cut off.

Tests: three in gateway copies, which failed before ("r-0" for r-1; "r-0 ran 6 times; answered 503"; 200 for 502); dispatch attribution. The soak's leafs send such copies too.

--- a/crates/dispatch/src/attribution.rs
+++ b/crates/dispatch/src/attribution.rs
@@ -1,13 +1,62 @@
 //! Which request a leaf's response belongs to.
 //!
-//! A leaf names in its response the request that it answers. A faulty leaf may send a response
-//! twice, and the second copy arrives where the next response on the connection is expected. The
-//! id tells the copy from the response to another request, but not from the response to a later
-//! send of the same request. A connection therefore carries each request once at most.
+//! A leaf names in its response the request that it answers. A faulty leaf may send further bytes
+//! after a response, and these arrive where the next response on the connection is expected. What
+//! doesn't name the request counts as no response to it.
+//!
+//! The further bytes may be a second copy of the response. Its id tells it from the response to
+//! another request, but not from the response to a later send of the same request. A connection
+//! therefore carries each request once at most.
 
 use jacinthfall_core::hash;
 use jacinthfall_core::time::Time;
 
+/// Request that a response names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Attribution {
+    /// The request that was sent.
+    Own,
+    /// Another request, or several.
+    Foreign,
+    /// None. The bytes belong to no request, or the leaf names none in any response.
+    Missing,
+}
+
+impl Attribution {
+    /// Returns what a response says that answers the request with the id `sent`, given the ids that
+    /// it names.
+    ///
+    /// ```
+    /// use jacinthfall_dispatch::attribution::Attribution;
+    /// let of = |echoed: &[&str]| Attribution::of(b"r-1", echoed.iter().map(|id| id.as_bytes()));
+    /// assert_eq!(of(&["r-1"]), Attribution::Own);
+    /// assert_eq!(of(&["r-2"]), Attribution::Foreign);
+    /// assert_eq!(of(&["r-1", "r-2"]), Attribution::Foreign);
+    /// assert_eq!(of(&[]), Attribution::Missing);
+    /// ```
+    #[must_use]
+    pub fn of<'a>(sent: &[u8], echoed: impl IntoIterator<Item = &'a [u8]>) -> Attribution {
+        let mut attribution = Attribution::Missing;
+        for id in echoed {
+            if id != sent {
+                return Attribution::Foreign;
+            }
+            attribution = Attribution::Own;
+        }
+        attribution
+    }
+
+    /// Returns the name that is written to logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Attribution::Own => "own",
+            Attribution::Foreign => "foreign",
+            Attribution::Missing => "missing",
+        }
+    }
+}
+
 /// Maximum number of requests that a connection remembers.
 const MAX_REQUESTS: usize = 1_024;
 
--- a/crates/dispatch/src/fleet/leaf.rs
+++ b/crates/dispatch/src/fleet/leaf.rs
@@ -58,6 +58,8 @@
     Failure,
     /// The connection broke before the answer was complete.
     Broken,
+    /// A response came that doesn't name the request, so nothing that it says counts.
+    Unattributed,
     /// The leaf rejected the request without running it.
     Rejected,
     /// A different leaf now has the address.
@@ -75,13 +77,15 @@
 }
 
 impl Ending {
-    /// Whether the leaf has responded.
+    /// Whether the leaf has responded, be it to another request.
     #[must_use]
     pub(super) const fn is_response(self) -> bool {
         match self {
-            Ending::Success { .. } | Ending::Failure | Ending::Rejected | Ending::Misdirected => {
-                true
-            }
+            Ending::Success { .. }
+            | Ending::Failure
+            | Ending::Unattributed
+            | Ending::Rejected
+            | Ending::Misdirected => true,
             Ending::Broken
             | Ending::Unreachable
             | Ending::Silent
@@ -98,6 +102,7 @@
             Ending::Success { .. } => "success",
             Ending::Failure => "failure",
             Ending::Broken => "broken",
+            Ending::Unattributed => "unattributed",
             Ending::Rejected => "rejected",
             Ending::Misdirected => "misdirected",
             Ending::Unreachable => "unreachable",
@@ -287,7 +292,7 @@
                 self.observe(now, None, true);
                 self.last_answer = now;
             }
-            Ending::Broken => self.observe(now, None, true),
+            Ending::Broken | Ending::Unattributed => self.observe(now, None, true),
             Ending::Rejected => {
                 let requests = 2 * self.entry.slots;
                 self.report = Some(Report { requests, at: now });
--- a/crates/dispatch/tests/suite/attribution.rs
+++ b/crates/dispatch/tests/suite/attribution.rs
@@ -1,7 +1,7 @@
-//! Connections that must not carry the same request twice.
+//! Which request a response belongs to, and connections that must not carry a request twice.
 
 use jacinthfall_core::time::Time;
-use jacinthfall_dispatch::attribution::{Carried, Id};
+use jacinthfall_dispatch::attribution::{Attribution, Carried, Id};
 
 const DEADLINE: Time = Time::from_millis(800);
 
@@ -55,3 +55,21 @@
 fn the_second_send_of_a_request_over_a_connection_is_a_bug() {
     carried(1).record(Time(0), id(0), DEADLINE);
 }
+
+#[test]
+fn a_response_counts_only_for_the_one_request_that_it_names() {
+    let cases: [(&[&str], Attribution); 6] = [
+        (&["r-1"], Attribution::Own),
+        (&["r-1", "r-1"], Attribution::Own),
+        (&["r-1", "r-2"], Attribution::Foreign),
+        (&["r-1, r-2"], Attribution::Foreign),
+        (&[""], Attribution::Foreign),
+        (&[], Attribution::Missing),
+    ];
+
+    for (echoed, expected) in cases {
+        let attribution = Attribution::of(b"r-1", echoed.iter().map(|id| id.as_bytes()));
+
+        assert_eq!(attribution, expected, "{echoed:?}");
+    }
+}
--- a/crates/testkit/src/gateway/leaf.rs
+++ b/crates/testkit/src/gateway/leaf.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -34,6 +34,8 @@
     Twice(Vec<u8>),
     /// Answers with the id of another request.
     Foreign,
+    /// Answers without naming the request.
+    Anonymous,
     /// Answers with a body that has a content encoding.
     Encoded,
     /// Sends bytes of this kind until the connection is closed.
@@ -79,6 +81,35 @@
     }
 }
 
+/// Second copies of responses that a leaf sends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Copies {
+    /// None.
+    #[default]
+    None,
+    /// A copy of each response, at the point where the next response is expected.
+    Exact,
+    /// The same without the request id.
+    WithoutId,
+}
+
+impl Copies {
+    /// Returns the copy of a response that is sent later.
+    fn of(self, response: &[u8]) -> Vec<u8> {
+        match self {
+            Copies::None => Vec::new(),
+            Copies::Exact => response.to_vec(),
+            Copies::WithoutId => without_id(response),
+        }
+    }
+}
+
+/// Returns a response without its request id.
+fn without_id(response: &[u8]) -> Vec<u8> {
+    let lines = response.split_inclusive(|byte| *byte == b'\n');
+    lines.filter(|line| !line.starts_with(b"x-request-id:")).flatten().copied().collect()
+}
+
 /// A request that reached a leaf and was run.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Run {
@@ -115,8 +146,7 @@
     rejections: Mutex<Vec<Instant>>,
     /// Ids of the requests that [`Behaviour::RejectFirst`] has refused.
     rejected: Mutex<HashSet<String>>,
-    /// Whether a second copy of each response is sent, late.
-    copies: AtomicBool,
+    copies: Mutex<Copies>,
     connections: AtomicUsize,
     closed_connections: Mutex<usize>,
     /// Open connections, and some that have been closed.
@@ -149,7 +179,7 @@
             runs: Mutex::default(),
             rejections: Mutex::default(),
             rejected: Mutex::default(),
-            copies: AtomicBool::default(),
+            copies: Mutex::default(),
             connections: AtomicUsize::default(),
             closed_connections: Mutex::default(),
             open: Mutex::default(),
@@ -231,10 +261,13 @@
         *self.state.headers.lock().expect("not poisoned") = headers.to_owned();
     }
 
-    /// Sets whether the leaf sends a second copy of each further response, at the point where the
-    /// next response on the connection is expected.
-    pub fn set_copies(&self, copies: bool) {
-        self.state.copies.store(copies, Ordering::Relaxed);
+    /// Sets which second copies of further responses the leaf sends.
+    ///
+    /// # Panics
+    ///
+    /// If a thread of the leaf panicked.
+    pub fn set_copies(&self, copies: Copies) {
+        *self.state.copies.lock().expect("not poisoned") = copies;
     }
 
     /// Changes the leaf's id, as if another leaf had taken over its address.
@@ -284,13 +317,12 @@
 
 fn serve(state: &State, stream: TcpStream) {
     let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
-    let mut writer = Writer { stream, copy: None };
+    let mut writer = Writer { stream, copies: Copies::None, copy: Vec::new() };
     while let Some(run) = read_request(&mut reader) {
-        let is_copied = state.copies.load(Ordering::Relaxed);
+        writer.copies = *state.copies.lock().expect("not poisoned");
         if writer.send_copy().is_none() || answer(state, &run, &mut reader, &mut writer).is_none() {
             break;
         }
-        writer.copy.take_if(|_| !is_copied);
     }
     // The state holds another handle. An error means that the connection is closed already.
     let _ = writer.stream.shutdown(Shutdown::Both);
@@ -299,8 +331,9 @@
 /// Sends responses over a connection.
 struct Writer {
     stream: TcpStream,
-    /// The latest complete response.
-    copy: Option<Vec<u8>>,
+    copies: Copies,
+    /// Copy of the latest response that is still to be sent.
+    copy: Vec<u8>,
 }
 
 impl Writer {
@@ -309,13 +342,13 @@
         let head = format!("{head}content-length: {}\r\n\r\n", body.len());
         let bytes = [head.as_bytes(), body].concat();
         self.stream.write_all(&bytes).ok()?;
-        self.copy = Some(bytes);
+        self.copy = self.copies.of(&bytes);
         Some(())
     }
 
     /// Sends the latest response once more, if there is one to send.
     fn send_copy(&mut self) -> Option<()> {
-        let copy = self.copy.take().unwrap_or_default();
+        let copy = std::mem::take(&mut self.copy);
         self.stream.write_all(&copy).ok()
     }
 }
@@ -412,6 +445,9 @@
             writer.send(&ok, b"again")
         }
         Behaviour::Foreign => writer.send(&ok.replace(&id, "another-request"), b"not yours"),
+        Behaviour::Anonymous => {
+            writer.send(&ok.replace(&format!("x-request-id: {id}\r\n"), ""), b"ok")
+        }
         Behaviour::Encoded => writer.send(&format!("{ok}content-encoding: gzip\r\n"), b"??"),
         Behaviour::Endless(kind) => {
             let (first, repeated) = kind.bytes(&ok);
--- a/crates/testkit/src/gateway/soak.rs
+++ b/crates/testkit/src/gateway/soak.rs
@@ -17,7 +17,7 @@
 
 mod organisations;
 
-use super::leaf::{Behaviour, Endless, Leaf, Run};
+use super::leaf::{Behaviour, Copies, Endless, Leaf, Run};
 use super::proxy::{Fault, Proxy};
 use super::site::{Request, Response, Site, gather, metric, route, try_exchange};
 
@@ -206,9 +206,13 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x0063_6f70_6965);
     while !shared.leafs_healed.load(Ordering::Relaxed) {
         let leaf = leafs.choose(&mut rng).expect("there are leafs");
-        let copies = rng.random_bool(0.4);
+        let copies = match rng.random_range(0..10) {
+            0..2 => Copies::Exact,
+            2..4 => Copies::WithoutId,
+            _ => Copies::None,
+        };
         leaf.set_copies(copies);
-        if copies {
+        if copies != Copies::None {
             leaf.set_behaviour(Behaviour::RejectFirst);
         }
         thread::sleep(Duration::from_millis(rng.random_range(5..120)));
@@ -624,7 +628,7 @@
             let leaf = &self.servers[index].leaf;
             leaf.set_behaviour(Behaviour::Echo(Duration::from_millis(3)));
             leaf.set_headers("");
-            leaf.set_copies(false);
+            leaf.set_copies(Copies::None);
         }
     }
 
--- a/src/gateway/audit/leafs.rs
+++ b/src/gateway/audit/leafs.rs
@@ -7,9 +7,11 @@
 use jacinthfall_core::history::Position;
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
+use jacinthfall_dispatch::attribution::Attribution;
 use jacinthfall_dispatch::fleet::{Change, Key, Statement, WarmupChange};
 use jacinthfall_dispatch::quarantine::Fingerprint;
 use jacinthfall_route::leaf::State;
+use metrics::counter;
 
 use super::Audit;
 use super::lines::header_text;
@@ -116,6 +118,29 @@
         }
     }
 
+    /// Logs and counts that a leaf sent a response which doesn't name the request that was sent.
+    pub fn log_unattributed(
+        &self,
+        now: Time,
+        tables: &Shared,
+        key: Key,
+        request: &HeaderValue,
+        attribution: Attribution,
+    ) {
+        let named = attribution.name();
+        counter!("jacinthfall_unattributed_responses_total", "named" => named).increment(1);
+        let Some(passed_over) = lock(&self.0).states.admit(now) else { return };
+        let tables = tables.lock();
+        let Some(leaf) = tables.fleet.leaf(key) else { return };
+        log::warn!(
+            "event=response_unattributed id={} service={} attempt={:?} named={named} \
+             passed_over={passed_over}",
+            leaf.id,
+            leaf.entry.service,
+            header_text(request)
+        );
+    }
+
     /// Logs that a leaf's rate limit can't be decoded, so that it is ignored.
     pub fn log_malformed_rate_limit(
         &self,
--- a/src/gateway/leafs.rs
+++ b/src/gateway/leafs.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 use jacinthfall_adapter::header;
 use jacinthfall_core::time::Time;
-use jacinthfall_dispatch::attribution::Id;
+use jacinthfall_dispatch::attribution::{Attribution, Id};
 use jacinthfall_dispatch::caller_timeout::Connection;
 use jacinthfall_dispatch::fleet::{Ending, Key};
 use jacinthfall_dispatch::flight::{Outcome, Reply, Timing};
@@ -227,10 +227,12 @@
     let now = hub.now();
     let (head, body) = response.into_parts();
     let mut headers = head.headers;
-    if headers.get(header::REQUEST_ID).is_some_and(|id| *id != outbound.id) {
-        // The response belongs to another request, so the connection is out of sync and must
-        // not be reused.
-        guard.ending = Ending::Failure;
+    let echoed = headers.get_all(header::REQUEST_ID).iter().map(HeaderValue::as_bytes);
+    let attribution = Attribution::of(outbound.id.as_bytes(), echoed);
+    if attribution != Attribution::Own {
+        // The connection may be out of sync and must not be reused.
+        guard.ending = Ending::Unattributed;
+        hub.audit.log_unattributed(now, &hub.tables, key, &outbound.id, attribution);
         return Outcome::Unknown;
     }
     notices::record(hub, key, guard.sent, &head.status, &headers);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -39,6 +39,10 @@
     describe_counter!("jacinthfall_extra_sends_total", "Parts given to a further leaf, by route");
     describe_counter!("jacinthfall_missing_parts_total", "Shards left out of answers, by route");
     describe_counter!("jacinthfall_sends_total", "Sends to leafs by outcome");
+    describe_counter!(
+        "jacinthfall_unattributed_responses_total",
+        "Responses of leafs that don't name the request that was sent, by what they name"
+    );
     describe_counter!("jacinthfall_store_calls_total", "Calls to the store by kind and outcome");
     describe_counter!("jacinthfall_exchanges_total", "Exchanges with other nodes by outcome");
     describe_histogram!("jacinthfall_exchange_seconds", "Time of exchanges, by outcome");
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -33,8 +33,16 @@
     }
 }
 
+/// Records what the response to a health check says, if it is of this leaf. The check names no leaf
+/// that it is for, so the response has to.
+pub fn record_health(hub: &Hub, leaf: Key, headers: &HeaderMap) {
+    if headers.contains_key(header::LEAF) {
+        record_warmup(hub, leaf, headers);
+    }
+}
+
 /// Records for how long a leaf stays cold, if the response says so and is of this leaf.
-pub fn record_warmup(hub: &Hub, leaf: Key, headers: &HeaderMap) {
+fn record_warmup(hub: &Hub, leaf: Key, headers: &HeaderMap) {
     let Some(left) = header::decode_warmup(headers) else { return };
     let now = hub.now();
     let mut tables = hub.tables();
--- a/src/gateway/probes.rs
+++ b/src/gateway/probes.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use http::header::HOST;
-use http::{HeaderValue, Request, StatusCode, Uri};
+use http::{HeaderValue, Request, Uri};
 use http_body_util::Full;
 use jacinthfall_dispatch::fleet::Key;
 use metrics::counter;
@@ -77,8 +77,6 @@
     request.headers_mut().insert(HOST, host);
     let exchange = sender.exchange(request, &hub.received);
     let response = timeout(RESPONSE_TIMEOUT, exchange).await.ok()?.ok()?;
-    if response.status() != StatusCode::MISDIRECTED_REQUEST {
-        notices::record_warmup(hub, probe.leaf, response.headers());
-    }
+    notices::record_health(hub, probe.leaf, response.headers());
     Some(())
 }
--- a/tests/gateway/copies.rs
+++ b/tests/gateway/copies.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
-use jacinthfall_testkit::gateway::leaf::{Behaviour, Leaf, Run};
+use jacinthfall_testkit::gateway::leaf::{Behaviour, Copies, Leaf, Run};
 use jacinthfall_testkit::gateway::proxy::Fault;
 use jacinthfall_testkit::gateway::site::{Request, Response, Site, metric, route, wait_for};
 use serde_json::{Value, json};
 
 use crate::cut_off::Cut;
+use crate::explain::stop_and_read_log_of;
 use crate::support::{open, serving};
 
 /// Work of a leaf, long enough for a further send to arrive meanwhile.
@@ -23,7 +24,7 @@
 /// Starts a leaf that rejects each request once and sends a late copy of each response.
 fn copying_leaf() -> Leaf {
     let leaf = Leaf::spawn("i-1", Behaviour::RejectFirst);
-    leaf.set_copies(true);
+    leaf.set_copies(Copies::Exact);
     leaf
 }
 
@@ -87,7 +88,7 @@
     let (site, leaf) = (&cut.site, &cut.leafs[0]);
     cut.set_fault(Fault::Blackhole);
     wait_for_lost_services(site, 1.0);
-    leaf.set_copies(true);
+    leaf.set_copies(Copies::Exact);
     leaf.set_behaviour(Behaviour::RejectFirst);
     cut.set_fault(Fault::None);
     wait_for("the health check", || {
@@ -99,3 +100,64 @@
 
     assert_eq!((response.status, runs_of(leaf, "r-1")), (200, 1));
 }
+
+/// Additional bytes that name no request were passed on as the success of another request.
+#[test]
+fn a_success_that_names_no_request_reaches_no_caller() {
+    let leafs = [0, 1].map(|n| Leaf::spawn(&format!("i-{n}"), Behaviour::Echo(Duration::ZERO)));
+    leafs.iter().for_each(|leaf| leaf.set_copies(Copies::WithoutId));
+    let entries = [("i-0", "a", &leafs[0]), ("i-1", "a", &leafs[1])];
+    let site = serving(&[route("safe")], &entries);
+
+    let mut served = 0;
+    for number in 0..40 {
+        let id = format!("r-{number}");
+        let response = site.ask(0, &Request { id: &id, ..Request::default() });
+
+        if response.status == 200 {
+            served += 1;
+            assert_eq!(String::from_utf8_lossy(&response.body), id);
+        } else {
+            assert_eq!(response.status, 502, "it may have run: {response:?}");
+        }
+    }
+    assert!(served > 0);
+    let name = "jacinthfall_unattributed_responses_total{named=\"missing\"}";
+    assert!(metric(&site.nodes[0], name).is_some_and(|count| count > 0.0));
+}
+
+/// A rejection that names no request let another request be sent again while it ran.
+#[test]
+fn a_rejection_that_names_no_request_lets_no_request_run_again() {
+    let leafs = [0, 1].map(|n| Leaf::spawn(&format!("i-{n}"), Behaviour::Reject));
+    leafs.iter().for_each(|leaf| leaf.set_copies(Copies::WithoutId));
+    let entries = [("i-0", "a", &leafs[0]), ("i-1", "a", &leafs[1])];
+    let site = serving(&[route("unsafe")], &entries);
+    assert_eq!(post(&site, "rejected").status, 503);
+    leafs.iter().for_each(|leaf| leaf.set_behaviour(Behaviour::Echo(WORK)));
+
+    let statuses: Vec<u16> = (0..4).map(|n| post(&site, &format!("r-{n}")).status).collect();
+
+    for (number, status) in statuses.iter().enumerate() {
+        let id = format!("r-{number}");
+        let runs: usize = leafs.iter().map(|leaf| runs_of(leaf, &id)).sum();
+        assert!(runs <= 1, "{id} ran {runs} times; answered {status}");
+        assert!(*status != 503 || runs == 0, "{id} was refused and has run");
+    }
+}
+
+/// A site whose leafs name no request serves nothing; an operator must see why.
+#[test]
+fn a_leaf_that_never_names_the_request_is_named_in_the_log() {
+    let leaf = Leaf::spawn("i-1", Behaviour::Anonymous);
+    let mut site = serving(&[route("unsafe")], &[("i-1", "a", &leaf)]);
+
+    let response = post(&site, "r-1");
+
+    assert_eq!(response.status, 502, "it has run, and no response to it has come");
+    assert_eq!(metric(&site.nodes[0], "jacinthfall_cut_off"), Some(0.0));
+    let log = stop_and_read_log_of(&mut site, 0);
+    let line = log.lines().find(|line| line.contains("event=response_unattributed"));
+    let line = line.expect("a line about the response");
+    assert!(line.contains("id=i-1 service=a attempt=\"r-1\" named=missing"), "{line}");
+}
