--- a/crates/dispatch/tests/suite/main.rs
+++ b/crates/dispatch/tests/suite/main.rs
@@ -22,6 +22,7 @@
 mod shedding;
 mod shortage;
 mod support;
+mod suspects;
 mod trail;
 mod transfer;
 mod warmup;
--- a/tests/gateway/quarantine.rs
+++ b/tests/gateway/quarantine.rs
@@ -1,10 +1,11 @@
 //! Requests that crash each leaf that runs them.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use jacinthfall_testkit::gateway::leaf::{Behaviour, Leaf, Run};
-use jacinthfall_testkit::gateway::site::{Request, Site, gather, route};
+use jacinthfall_testkit::gateway::site::{Request, Response, Site, gather, metric, route};
 use serde_json::Value;
 
 use crate::support::open;
@@ -95,3 +96,71 @@
     let runs = runs(&leafs, CRASHING);
     assert!(late_runs(&runs) <= MAX_CRASHES, "{} late ones of {}", late_runs(&runs), runs.len());
 }
+
+/// Time for which the leaf of a shard is down in turn, and between two of these crashes.
+const DOWN_TIME: Duration = Duration::from_secs(3);
+const APART: Duration = Duration::from_millis(500);
+
+/// Time after the return of the leafs within which a harmless query must be served again.
+const RETURN_TIME: Duration = Duration::from_secs(5);
+
+/// A query that is asked all the time was present at crashes of three shards, and was refused for
+/// minutes after their return.
+#[test]
+fn a_popular_query_is_served_soon_after_three_shards_crashed_one_after_the_other() {
+    let ids = ["i-0", "i-1", "i-2"];
+    let leafs = ids.map(|id| Leaf::spawn(id, Behaviour::Echo(Duration::from_millis(100))));
+    let mut site = open();
+    for (number, leaf) in leafs.iter().enumerate() {
+        site.register(ids[number], &format!("s-{number}"), leaf, 1, "ready");
+    }
+    // Queries don't wait long for the shards that are down.
+    let mut route = gather(0.3);
+    route["target-latency-ms"] = 300.into();
+    site.configure(&[route]);
+    for node in 0..2 {
+        site.start();
+        site.wait_ready(node);
+    }
+    let stop = AtomicBool::new(false);
+
+    let served = thread::scope(|scope| {
+        for caller in 0..24 {
+            let (site, stop) = (&site, &stop);
+            scope.spawn(move || {
+                for number in 0.. {
+                    if stop.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    let id = format!("r-{caller}-{number}");
+                    let request = Request { id: &id, target: "/g/1", ..Request::default() };
+                    site.ask(caller % 2, &request);
+                    // The callers must not all wait at the same time.
+                    thread::sleep(Duration::from_millis(5 * caller as u64));
+                }
+            });
+        }
+        thread::sleep(APART);
+        for leaf in &leafs {
+            leaf.crash(DOWN_TIME);
+            thread::sleep(APART);
+        }
+        thread::sleep(DOWN_TIME);
+        let end = Instant::now() + RETURN_TIME;
+        let is_served = |node| {
+            let request = Request { id: "probe", target: "/g/1", ..Request::default() };
+            let whole = |response: &Response| response.header("x-missing-parts") == Some("0");
+            whole(&site.ask(node, &request))
+        };
+        let mut served = [false; 2];
+        while Instant::now() < end && served != [true; 2] {
+            served = [0, 1].map(is_served);
+        }
+        stop.store(true, Ordering::Relaxed);
+        served
+    });
+
+    let crashes = site.nodes.iter().map(|node| metric(node, "jacinthfall_leaf_crashes_total"));
+    assert!(crashes.flatten().sum::<f64>() >= 3.0, "the query was present at the crashes");
+    assert_eq!(served, [true; 2]);
+}
