--- a/crates/dispatch/tests/suite/suspects.rs
+++ b/crates/dispatch/tests/suite/suspects.rs
@@ -21,6 +21,9 @@
 /// Time until a message arrives at another node, in milliseconds. News are sent at once.
 const DELAY: u64 = 20;
 
+/// Interval between two replacements of a node, in milliseconds.
+const REPLACEMENT: u64 = 1_700;
+
 /// Number of leafs of each shard.
 const REPLICAS: usize = 3;
 
@@ -162,7 +165,7 @@
     }
 
     fn replace_node(&mut self, now: u64) {
-        if !self.plan.replaces_nodes || now % 1_700 != 0 {
+        if !self.plan.replaces_nodes || !now.is_multiple_of(REPLACEMENT) {
             return;
         }
         let node = self.rng.random_range(0..self.plan.nodes);
--- a/crates/testkit/src/gateway/leaf.rs
+++ b/crates/testkit/src/gateway/leaf.rs
@@ -8,6 +8,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+mod writer;
+
+pub use writer::Copies;
+
+use writer::Writer;
+
 /// Path of the health check, which is not recorded as a run.
 const HEALTH: &str = "/healthz";
 
@@ -81,35 +87,6 @@
     }
 }
 
-/// Second copies of responses that a leaf sends.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Copies {
-    /// None.
-    #[default]
-    None,
-    /// A copy of each response, at the point where the next response is expected.
-    Exact,
-    /// The same without the request id.
-    WithoutId,
-}
-
-impl Copies {
-    /// Returns the copy of a response that is sent later.
-    fn of(self, response: &[u8]) -> Vec<u8> {
-        match self {
-            Copies::None => Vec::new(),
-            Copies::Exact => response.to_vec(),
-            Copies::WithoutId => without_id(response),
-        }
-    }
-}
-
-/// Returns a response without its request id.
-fn without_id(response: &[u8]) -> Vec<u8> {
-    let lines = response.split_inclusive(|byte| *byte == b'\n');
-    lines.filter(|line| !line.starts_with(b"x-request-id:")).flatten().copied().collect()
-}
-
 /// A request that reached a leaf and was run.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Run {
@@ -317,7 +294,7 @@
 
 fn serve(state: &State, stream: TcpStream) {
     let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
-    let mut writer = Writer { stream, copies: Copies::None, copy: Vec::new() };
+    let mut writer = Writer::open(stream);
     while let Some(run) = read_request(&mut reader) {
         writer.copies = *state.copies.lock().expect("not poisoned");
         if writer.send_copy().is_none() || answer(state, &run, &mut reader, &mut writer).is_none() {
@@ -328,31 +305,6 @@
     let _ = writer.stream.shutdown(Shutdown::Both);
 }
 
-/// Sends responses over a connection.
-struct Writer {
-    stream: TcpStream,
-    copies: Copies,
-    /// Copy of the latest response that is still to be sent.
-    copy: Vec<u8>,
-}
-
-impl Writer {
-    /// Sends a complete response; `None` if the connection ended.
-    fn send(&mut self, head: &str, body: &[u8]) -> Option<()> {
-        let head = format!("{head}content-length: {}\r\n\r\n", body.len());
-        let bytes = [head.as_bytes(), body].concat();
-        self.stream.write_all(&bytes).ok()?;
-        self.copy = self.copies.of(&bytes);
-        Some(())
-    }
-
-    /// Sends the latest response once more, if there is one to send.
-    fn send_copy(&mut self) -> Option<()> {
-        let copy = std::mem::take(&mut self.copy);
-        self.stream.write_all(&copy).ok()
-    }
-}
-
 /// Reads a request; `None` if the connection ended.
 fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Run> {
     let mut head = String::new();
--- a/crates/testkit/src/gateway/soak.rs
+++ b/crates/testkit/src/gateway/soak.rs
@@ -15,9 +15,10 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
 
+mod disturbance;
 mod organisations;
 
-use super::leaf::{Behaviour, Copies, Endless, Leaf, Run};
+use super::leaf::{Behaviour, Copies, Leaf, Run};
 use super::proxy::{Fault, Proxy};
 use super::site::{Request, Response, Site, gather, metric, route, try_exchange};
 
@@ -116,25 +117,13 @@
         })
         .collect();
     let leafs: Vec<Leaf> = soak.servers.iter().map(|server| server.leaf.clone()).collect();
-    let leafs_shared = Arc::clone(&shared);
-    let leafs_thread = {
-        let leafs = leafs.clone();
-        thread::spawn(move || vary_behaviour(&leafs_shared, &leafs, plan.seed))
-    };
-    let notices_shared = Arc::clone(&shared);
-    let copying = leafs.clone();
-    let notices_thread = thread::spawn(move || vary_notices(&notices_shared, &leafs, plan.seed));
-    let copies_shared = Arc::clone(&shared);
-    let copies_thread = thread::spawn(move || vary_copies(&copies_shared, &copying, plan.seed));
-    let links_shared = Arc::clone(&shared);
-    let links = Arc::clone(&soak.links);
-    let links_thread = thread::spawn(move || vary_links(&links_shared, &links, plan.seed));
+    let disturbances = disturbance::spawn(&shared, leafs, &soak.links, plan.seed);
     let end = Instant::now() + plan.duration;
     while Instant::now() < end {
         soak.inject_fault();
     }
     shared.leafs_healed.store(true, Ordering::Relaxed);
-    for thread in [leafs_thread, notices_thread, copies_thread, links_thread] {
+    for thread in disturbances {
         if thread.join().is_err() {
             shared.record_violation("a thread that injects faults panicked".to_owned());
         }
@@ -160,80 +149,6 @@
     }
 }
 
-/// Changes the behaviour of random leafs many times a second, until `leafs_healed` is set.
-fn vary_behaviour(shared: &Shared, leafs: &[Leaf], seed: u64) {
-    let mut rng = ChaCha8Rng::seed_from_u64(!seed);
-    let faults = [
-        Behaviour::Echo(Duration::from_millis(120)),
-        Behaviour::Reject,
-        Behaviour::Drop,
-        Behaviour::Truncate,
-        Behaviour::Foreign,
-        Behaviour::Fail,
-        Behaviour::Silent,
-        Behaviour::Encoded,
-    ];
-    while !shared.leafs_healed.load(Ordering::Relaxed) {
-        let leaf = leafs.choose(&mut rng).expect("there are leafs");
-        let healthy = Behaviour::Echo(Duration::from_millis(3));
-        let faulty = faults.choose(&mut rng).expect("there are faults").clone();
-        leaf.set_behaviour(if rng.random_bool(0.6) { healthy } else { faulty });
-        thread::sleep(Duration::from_millis(rng.random_range(5..40)));
-    }
-}
-
-/// Lets random leafs state limits, leave, crash or send without end, until `leafs_healed` is set.
-/// It has a random sequence of its own, so that the other faults of a seed stay the same.
-fn vary_notices(shared: &Shared, leafs: &[Leaf], seed: u64) {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x6e6f_7469_6365);
-    let notices = ["", "", "server-limit: 5\r\n", "server-limit: 20\r\n", "retry-after: 0.3\r\n"];
-    while !shared.leafs_healed.load(Ordering::Relaxed) {
-        let leaf = leafs.choose(&mut rng).expect("there are leafs");
-        match rng.random_range(0..20) {
-            0 => leaf.crash(Duration::from_millis(rng.random_range(50..400))),
-            1 => leaf.set_behaviour(Behaviour::Endless(Endless::Interim)),
-            2 => leaf.set_behaviour(Behaviour::Endless(Endless::Body)),
-            _ => leaf.set_headers(notices.choose(&mut rng).expect("there are notices")),
-        }
-        thread::sleep(Duration::from_millis(rng.random_range(5..80)));
-    }
-}
-
-/// Lets random leafs send late copies of their responses, and reject requests once, until
-/// `leafs_healed` is set. It has a random sequence of its own, so that the other faults of a seed
-/// stay the same.
-fn vary_copies(shared: &Shared, leafs: &[Leaf], seed: u64) {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x0063_6f70_6965);
-    while !shared.leafs_healed.load(Ordering::Relaxed) {
-        let leaf = leafs.choose(&mut rng).expect("there are leafs");
-        let copies = match rng.random_range(0..10) {
-            0..2 => Copies::Exact,
-            2..4 => Copies::WithoutId,
-            _ => Copies::None,
-        };
-        leaf.set_copies(copies);
-        if copies != Copies::None {
-            leaf.set_behaviour(Behaviour::RejectFirst);
-        }
-        thread::sleep(Duration::from_millis(rng.random_range(5..120)));
-    }
-}
-
-/// Cuts the links of some nodes to leafs again and again, until `leafs_healed` is set. It has a
-/// random sequence of its own, so that the other faults of a seed stay the same.
-fn vary_links(shared: &Shared, links: &[Proxy], seed: u64) {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x6c69_6e6b);
-    let faults = [Fault::Blackhole, Fault::Reset, Fault::OneWay];
-    while !shared.leafs_healed.load(Ordering::Relaxed) {
-        thread::sleep(Duration::from_millis(rng.random_range(0..1_500)));
-        let fault = *faults.choose(&mut rng).expect("there are faults");
-        let share = if rng.random_bool(0.7) { 1.0 } else { 0.4 };
-        links.iter().filter(|_| rng.random_bool(share)).for_each(|link| link.set_fault(fault));
-        thread::sleep(Duration::from_millis(rng.random_range(100..3_000)));
-        links.iter().for_each(|link| link.set_fault(Fault::None));
-    }
-}
-
 /// Sends requests to random nodes and checks the answers, until the soak stops.
 fn run_caller(shared: &Shared, seed: u64) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
