Remove the choice of parts that a query leaves out

What callers saw: nothing, no deployment had it on. Cause: a query left out a part if the square of its coverage lost less than the room was worth, and each priority was worth half of the one before.

Its tests go with it. Those of the measure of short shards stay, now with the thresholds that still use it.

--- a/crates/dispatch/src/flight/admission.rs
+++ b/crates/dispatch/src/flight/admission.rs
@@ -96,12 +96,8 @@
         }
         self.next_admission = None;
         self.admitted_at = Some(now);
-        let left_out = self.leave_out(now, &placements, context);
         let mut actions = Vec::with_capacity(self.parts.len());
         for (part, placement) in placements.into_iter().enumerate() {
-            if left_out.contains(&part) {
-                continue;
-            }
             self.apply_placement(now, part, placement, context, &mut actions);
         }
         self.finish_if_decided(now, context, &mut actions);
--- a/crates/dispatch/src/overload.rs
+++ b/crates/dispatch/src/overload.rs
@@ -1,10 +1,9 @@
 //! Load shedding: which requests and parts give way while leafs are short of room.
 //!
 //! Answers a load that exceeds the capacity of some shards for seconds. Nodes measure which shards
-//! are short and tell each other ([`shortage`]); queries leave out [`optional`] parts there. Each
-//! mechanism is switched on by itself in the [`Settings`], and none is by default.
+//! are short and tell each other ([`shortage`]); requests that rank below the [`threshold`] of a shard
+//! are refused. Each mechanism is switched on by itself in the [`Settings`], and none is by default.
 
-pub mod optional;
 pub mod shortage;
 pub mod threshold;
 
@@ -15,7 +14,6 @@
 
 use crate::fleet::{OVERRUN_FACTOR, Order};
 
-use optional::Price;
 use shortage::{Report, Shard, Table};
 use threshold::{Claim, Thresholds};
 
@@ -64,17 +62,6 @@
     }
 }
 
-/// What happens to a part at a short shard without which its query can be answered.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum OptionalParts {
-    /// It is sent like any other part.
-    #[default]
-    Sent,
-    /// It is left out if other queries need the room more.
-    LeftOut,
-}
-
 /// Which mechanisms are in use.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -89,8 +76,6 @@
     pub parts: Parts,
     /// Order in which waiting requests get a leaf.
     pub queue: Order,
-    /// What happens to optional parts at short shards.
-    pub optional_parts: OptionalParts,
 }
 
 /// What a node knows of the shortage of shards.
@@ -100,8 +85,6 @@
     pub settings: Settings,
     /// Shortage of shards, as seen by this node and others.
     pub table: Table,
-    /// Value of the room at short shards.
-    pub price: Price,
     /// Thresholds of short shards.
     pub thresholds: Thresholds,
 }
@@ -116,8 +99,7 @@
     /// Whether the shortage of shards is measured and shared with other nodes.
     #[must_use]
     pub fn is_measuring(&self) -> bool {
-        self.settings.optional_parts == OptionalParts::LeftOut
-            || self.settings.policy == Policy::Threshold
+        self.settings.policy == Policy::Threshold
     }
 
     /// Records whether a part that a query needed found a leaf at once.
--- a/crates/dispatch/src/overload/threshold.rs
+++ b/crates/dispatch/src/overload/threshold.rs
@@ -11,7 +11,6 @@
 use jacinthfall_core::hash;
 use jacinthfall_core::time::Time;
 
-use super::optional::value;
 use super::shortage::Shard;
 use crate::quarantine::Fingerprint;
 
@@ -30,6 +29,9 @@
 /// Factor on the distance of a returning caller's rank from the highest one of its priority.
 const RETURN_FACTOR: f64 = 0.5;
 
+/// Priority from which on requests rank alike.
+const MAX_PRIORITY: u32 = 8;
+
 /// Weight of a new request in the moving average of the work.
 const WORK_WEIGHT: f64 = 0.02;
 
@@ -88,7 +90,7 @@
         let position = claim.lot.clamp(0.0, 1.0).powf(seconds / mean);
         let distance = 1.0 - position;
         let distance = if claim.is_return { RETURN_FACTOR * distance } else { distance };
-        let top = value(claim.priority);
+        let top = 0.5_f64.powf(f64::from(claim.priority.min(MAX_PRIORITY)));
         top * (1.0 - 0.5 * distance)
     }
 
--- a/crates/dispatch/tests/suite/shedding.rs
+++ b/crates/dispatch/tests/suite/shedding.rs
@@ -7,7 +7,7 @@
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::fleet::{Ending, Order};
 use jacinthfall_dispatch::flight::Flight;
-use jacinthfall_dispatch::overload::{Limit, OptionalParts, Parts, Policy, Settings};
+use jacinthfall_dispatch::overload::{Limit, Parts, Policy, Settings};
 
 use jacinthfall_route::snapshot::Route;
 
@@ -167,7 +167,6 @@
 /// worse together than today's behaviour.
 #[test]
 fn the_mechanisms_in_use_are_worth_more_together_than_none() {
-    let left_out = OptionalParts::LeftOut;
     let threshold = Policy::Threshold;
     let returns = Settings { returns: Limit::Objective, ..today() };
     let best = Settings {
@@ -182,14 +181,12 @@
         ("singles", Settings { singles: Limit::Objective, ..today() }),
         ("parts", Settings { parts: Parts::InTime, ..today() }),
         ("queue", Settings { queue: Order::Urgency, ..today() }),
-        ("optional_parts", Settings { optional_parts: left_out, ..today() }),
         ("threshold", Settings { policy: threshold, ..today() }),
         ("returns, singles, parts, queue", best),
         ("these without returns", Settings { returns: Limit::Deadline, ..best }),
         ("these without singles", Settings { singles: Limit::Deadline, ..best }),
         ("these without parts", Settings { parts: Parts::Overrun, ..best }),
         ("these without queue", Settings { queue: Order::Unordered, ..best }),
-        ("these and optional_parts", Settings { optional_parts: left_out, ..best }),
         ("these and threshold", Settings { policy: threshold, ..best }),
     ];
     for (name, settings) in variants {
