Admit requests by the time that is left for their work

What callers saw: a request was refused after a tenth of its latency objective although an answer in time was still possible, and one taken for a retry after a quarter of the time to its deadline, or with the setting 'returns' after a tenth of the objective again. A retry also ranked higher at a threshold.

A request now waits until it must be sent for its answer to be expected in time: until the objective or the deadline, whichever is first, less the quantile of the route's response times at which the required parts are answered. It is refused at once if none of its parts can get a leaf by then. The setting 'returns' and the rank of retries are gone.

--- a/crates/dispatch/src/flight.rs
+++ b/crates/dispatch/src/flight.rs
@@ -84,16 +84,12 @@
     min_placed: usize,
     /// When a partial answer is sent if enough parts are answered.
     answer_by: Time,
-    /// Until when the request may wait until enough of its parts have an available leaf.
-    admit_by: Time,
     /// When an answer must be sent to be within the objective counted from the arrival.
     due: Time,
     /// Priority; 0 is the most urgent.
     priority: u32,
-    /// Whether the caller has returned after a refusal.
-    is_return: bool,
-    /// Until when a single part may wait for a leaf that can take it.
-    place_by: Time,
+    /// Whether the request is refused at once unless leafs for all its parts are available.
+    is_impatient: bool,
     /// When admission is tried again, while too few parts have an available leaf.
     next_admission: Option<Time>,
     /// When the caller stops waiting.
@@ -123,22 +119,14 @@
         let lost = timing.spent + timing.transport() + margin;
         let answer_by = now + route.objective.saturating_sub(lost);
         let due = now + route.objective.saturating_sub(timing.transport() + margin);
-        let is_return = admission::is_return(&route, timing);
-        let admit_by = admission::admit_by(now, &route, timing);
-        let place_by = match route.target {
-            Target::Gather(_) => answer_by.max(admit_by),
-            Target::Service(_) | Target::Split(_) => admit_by,
-        };
         Flight {
             parts: services.into_iter().map(Part::open).collect(),
             min_answers,
             min_placed: min_answers.max(1),
             answer_by: answer_by.min(deadline),
-            admit_by: admit_by.min(deadline),
-            place_by: place_by.min(deadline),
             due: due.min(deadline),
             priority: route.priority,
-            is_return,
+            is_impatient: false,
             next_admission: None,
             deadline,
             arrived: now,
@@ -151,7 +139,7 @@
     /// Lets the request be refused unless leafs for all its parts are available when it starts.
     pub fn admit_only_whole(&mut self) {
         self.min_placed = self.parts.len();
-        self.admit_by = self.arrived;
+        self.is_impatient = true;
     }
 
     /// Returns when [`Flight::wake`] must be called next.
@@ -196,7 +184,6 @@
             context.budget.record_request(now, &part.service);
         }
         self.priority = context.priority;
-        self.bound_wait(now, context);
         if let Some(retry_after) = self.ranks_too_low(now, context) {
             self.admitted_at = Some(now);
             return self.finish(Answer::Refused { retry_after });
--- a/crates/dispatch/src/flight/admission.rs
+++ b/crates/dispatch/src/flight/admission.rs
@@ -1,31 +1,20 @@
 //! Admission of requests, and the time after which refused callers should retry.
 //!
 //! Answers a load that exceeds the capacity of some shards: a query that can't be answered
-//! takes no capacity from those that can, and its caller is told so at once.
+//! takes no capacity from those that can, and its caller is told so at once. A request waits for
+//! leafs only while its answer can still be useful: the usual response times tell when it must be sent
+//! at the latest. That bounds the queue at this node by what the leafs can serve in time, so that an
+//! overload doesn't make all requests late.
 
 use std::time::Duration;
 
 use jacinthfall_core::time::Time;
-use jacinthfall_route::snapshot::Route;
 
-use super::message::{Action, Answer, Timing};
+use super::message::{Action, Answer};
 use super::placement::{MIN_SEARCH_INTERVAL, found_leaf};
 use super::{Context, Flight};
 use crate::fleet::{Need, Placement};
-use crate::round_trip::SETUP_ROUND_TRIPS;
-
-/// Share of the objective for which a request waits to be admitted, that is, until enough
-/// of its parts have an available leaf. It is refused after that.
-const ADMISSION_SHARE: f64 = 0.1;
-
-/// Share of the time until the deadline for which a request that its caller has retried
-/// waits to be admitted. Such a request is or will be late in any case, and its caller was
-/// asked to retry.
-const RETRY_ADMISSION_SHARE: f64 = 0.25;
-
-/// Share of the objective that the caller must have spent, beyond the time to look up a node and
-/// to connect, for a request to count as a retry by the caller.
-const RETRY_SPENT_SHARE: f64 = 0.15;
+use crate::latency::Latency;
 
 /// Minimum retry delay that is sent to a refused caller.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(30);
@@ -33,26 +22,6 @@
 /// Retry delay for a refused caller if it isn't known when a leaf will be available.
 pub(super) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Whether the caller has made an earlier attempt.
-pub(super) fn is_return(route: &Route, timing: Timing) -> bool {
-    let setup = timing.round_trip * SETUP_ROUND_TRIPS;
-    timing.spent > setup + route.objective.mul_f64(RETRY_SPENT_SHARE)
-}
-
-/// Returns until when a request may wait to be admitted.
-pub(super) fn admit_by(now: Time, route: &Route, timing: Timing) -> Time {
-    if is_return(route, timing) {
-        now + timing.deadline.since(now).mul_f64(RETRY_ADMISSION_SHARE)
-    } else {
-        first_admit_by(now, route)
-    }
-}
-
-/// Returns until when a first request of a caller may wait to be admitted.
-pub(super) fn first_admit_by(now: Time, route: &Route) -> Time {
-    now + route.objective.mul_f64(ADMISSION_SHARE)
-}
-
 /// Returns when the leafs that are unavailable for now can be tried again.
 fn later(placement: &Placement) -> Option<Time> {
     match placement {
@@ -61,22 +30,48 @@
     }
 }
 
+/// Whether a part may get a leaf by the given time.
+fn may_get_leaf(placement: &Placement, by: Time) -> bool {
+    match placement {
+        Placement::Leaf(_) => true,
+        Placement::Queue(at) | Placement::Later(at) | Placement::RateLimited(at) => *at < by,
+        Placement::NoLeaf => false,
+    }
+}
+
 /// Returns the number of parts that a leaf was found for.
 fn placed(placements: &[Placement]) -> usize {
     placements.iter().filter(|placement| matches!(placement, Placement::Leaf(_))).count()
 }
 
 impl Flight {
+    /// Returns when the request must be sent for its answer to be expected in time, given the usual
+    /// response times of its parts.
+    fn send_by(&self, latency: &Latency) -> Time {
+        if self.is_impatient {
+            return self.arrived;
+        }
+        let response = latency.quantile(self.expected_rank());
+        self.arrived + self.answer_by.since(self.arrived).saturating_sub(response)
+    }
+
+    /// Returns the quantile of the response times within which the required parts are expected to be
+    /// answered: the mean rank of the last of `k` among `n` is `k / (n + 1)`.
+    fn expected_rank(&self) -> f64 {
+        self.min_placed as f64 / (self.parts.len() + 1) as f64
+    }
+
     /// Sends the request once enough parts have an available leaf at the same time, and
-    /// refuses it if that doesn't happen before `admit_by`. A query that can't be answered
+    /// refuses it once that isn't expected in time any more. A query that can't be answered
     /// thus takes no capacity from those that can.
     pub(super) fn admit(&mut self, now: Time, context: &mut Context<'_>) -> Vec<Action> {
         let placements = self.place_all(now, context);
         self.observe_room(now, &placements, context);
         if placed(&placements) < self.min_placed {
+            let send_by = self.send_by(context.latency);
             let candidates =
-                placements.iter().filter(|placement| self.may_get_leaf(placement)).count();
-            if candidates < self.min_placed || now >= self.admit_by {
+                placements.iter().filter(|placement| may_get_leaf(placement, send_by)).count();
+            if candidates < self.min_placed || now >= send_by {
                 self.admitted_at = Some(now);
                 self.give_up_unplaced(now, &placements);
                 self.leave_queues(context);
@@ -87,11 +82,11 @@
                 .iter()
                 .filter_map(later)
                 .min()
-                .unwrap_or(self.admit_by)
+                .unwrap_or(send_by)
                 .max(now + MIN_SEARCH_INTERVAL);
             self.wait_in_turn(&placements, context);
             let next = self.next_search(now, next, context);
-            self.next_admission = Some(next.min(self.admit_by));
+            self.next_admission = Some(next.min(send_by));
             return Vec::new();
         }
         self.next_admission = None;
@@ -148,13 +143,4 @@
             part.given_up = found_leaf(*placement).err().map(|obstacle| (now, obstacle));
         }
     }
-
-    /// Whether a part may get a leaf before admission ends.
-    fn may_get_leaf(&self, placement: &Placement) -> bool {
-        match placement {
-            Placement::Leaf(_) | Placement::Queue(_) => true,
-            Placement::Later(at) | Placement::RateLimited(at) => *at < self.admit_by,
-            Placement::NoLeaf => false,
-        }
-    }
 }
--- a/crates/dispatch/src/flight/placement.rs
+++ b/crates/dispatch/src/flight/placement.rs
@@ -144,7 +144,7 @@
         context: &mut Context<'_>,
         actions: &mut Vec<Action>,
     ) {
-        let place_by = self.place_by;
+        let place_by = self.answer_by;
         match placement {
             Placement::Leaf(leaf) => {
                 actions.push(self.send_to(now, part, leaf, Reason::First, context));
@@ -179,7 +179,7 @@
         let turn = self.turn();
         let state = &mut self.parts[part];
         if !std::mem::replace(&mut state.queued, true) {
-            context.fleet.enqueue(&state.service, turn, self.place_by);
+            context.fleet.enqueue(&state.service, turn, self.answer_by);
         }
     }
 
@@ -188,7 +188,7 @@
         let turn = self.turn();
         let state = &mut self.parts[part];
         if std::mem::take(&mut state.queued) {
-            context.fleet.dequeue(&state.service, turn, self.place_by);
+            context.fleet.dequeue(&state.service, turn, self.answer_by);
         }
     }
 }
--- a/crates/dispatch/src/flight/resend.rs
+++ b/crates/dispatch/src/flight/resend.rs
@@ -171,7 +171,7 @@
 
     /// Sends a part whose sends have all ended once more, lets it wait for a leaf, or gives it
     /// up. Leafs that reject requests at random, or are full for a moment, often take the part
-    /// a little later, so a part that no leaf can take yet isn't given up before `place_by`.
+    /// a little later, so a part that no leaf can take yet isn't given up before `answer_by`.
     pub(super) fn resend(
         &mut self,
         now: Time,
@@ -196,7 +196,7 @@
         let Err(obstacle) = obstacle else { return };
         let state = &mut self.parts[part];
         let search_at = now + RESEND_INTERVAL;
-        if obstacle.may_pass() && search_at < self.place_by {
+        if obstacle.may_pass() && search_at < self.answer_by {
             state.search_at = Some(search_at);
         } else {
             state.given_up = Some((now, obstacle));
--- a/crates/dispatch/src/flight/shedding.rs
+++ b/crates/dispatch/src/flight/shedding.rs
@@ -6,7 +6,7 @@
 
 use super::part::{Obstacle, Part};
 use super::placement::MAX_SEARCH_INTERVAL;
-use super::{Context, Flight, admission};
+use super::{Context, Flight};
 use crate::fleet::{Order, Placement};
 use crate::overload::shortage::Shard;
 use crate::overload::threshold::Claim;
@@ -16,15 +16,6 @@
 const MIN_RETRY_OBJECTIVES: f64 = 1.0;
 
 impl Flight {
-    /// Lets the request of a returned caller wait no longer than a first one, so that its answer
-    /// can still be within the objective counted from its return.
-    pub(super) fn bound_wait(&mut self, now: Time, context: &Context<'_>) {
-        if context.overload.settings.returns == Limit::Objective && self.is_return {
-            self.admit_by = self.admit_by.min(admission::first_admit_by(now, &self.route));
-            self.place_by = self.place_by.min(self.admit_by.max(self.answer_by));
-        }
-    }
-
     /// Returns when the response to a request to a single service is needed.
     pub(super) fn respond_by(&self, now: Time, context: &Context<'_>) -> Time {
         match context.overload.settings.singles {
@@ -81,7 +72,6 @@
             priority: self.priority,
             work: context.latency.quantile(0.5),
             lot: context.lot,
-            is_return: self.is_return,
         };
         let shards: Vec<Shard> = self.parts.iter().map(|part| Shard::of(&part.service)).collect();
         let low = context.overload.low(now, &shards, claim);
--- a/crates/dispatch/src/overload.rs
+++ b/crates/dispatch/src/overload.rs
@@ -68,8 +68,6 @@
 pub struct Settings {
     /// Which requests are refused.
     pub policy: Policy,
-    /// Limit on the time that queries of callers that returned after a refusal wait to be admitted.
-    pub returns: Limit,
     /// Limit on the response time of a leaf that a request to a single service is sent to.
     pub singles: Limit,
     /// Limit on the expected response time of a leaf that a part of a query is sent to.
--- a/crates/dispatch/src/overload/threshold.rs
+++ b/crates/dispatch/src/overload/threshold.rs
@@ -26,9 +26,6 @@
 /// Maximum number of shards with a threshold.
 const MAX_SHARDS: usize = 4_096;
 
-/// Factor on the distance of a returning caller's rank from the highest one of its priority.
-const RETURN_FACTOR: f64 = 0.5;
-
 /// Priority from which on requests rank alike.
 const MAX_PRIORITY: u32 = 8;
 
@@ -56,8 +53,6 @@
     pub work: Duration,
     /// Random number from 0 to 1 that is fixed for a caller's request.
     pub lot: f64,
-    /// Whether the caller has returned after a refusal.
-    pub is_return: bool,
 }
 
 /// Thresholds of shards.
@@ -77,11 +72,10 @@
     /// use std::time::Duration;
     /// use jacinthfall_dispatch::overload::threshold::{Claim, Thresholds};
     /// let work = Duration::from_millis(20);
-    /// let claim = Claim { priority: 1, work, lot: 0.6, is_return: false };
+    /// let claim = Claim { priority: 1, work, lot: 0.6 };
     /// let mut thresholds = Thresholds::default();
     /// assert!((0.25..0.5).contains(&thresholds.rank(claim)));
     /// assert!(thresholds.rank(Claim { priority: 0, lot: 0.1, ..claim }) >= 0.5);
-    /// assert!(thresholds.rank(Claim { is_return: true, ..claim }) > thresholds.rank(claim));
     /// ```
     pub fn rank(&mut self, claim: Claim) -> f64 {
         let seconds = claim.work.as_secs_f64().max(0.000_1);
@@ -89,7 +83,6 @@
         self.work = Some(mean);
         let position = claim.lot.clamp(0.0, 1.0).powf(seconds / mean);
         let distance = 1.0 - position;
-        let distance = if claim.is_return { RETURN_FACTOR * distance } else { distance };
         let top = 0.5_f64.powf(f64::from(claim.priority.min(MAX_PRIORITY)));
         top * (1.0 - 0.5 * distance)
     }
