Ask for an answer sooner than the leaf's backoff in its test

A caller whose only leaf asks to be left alone for 2 s was refused at once although its route has an objective of 4 s; since requests wait while an answer in time is possible it waits, and is served if the leaf takes it. The test is about a caller that can't be served in time, so its route now has an objective of 1 s. Its assertions are the same: refused within 300 ms, nothing sent, and told when the leaf takes requests again.

--- a/tests/gateway/notices.rs
+++ b/tests/gateway/notices.rs
@@ -72,7 +72,10 @@
 #[test]
 fn callers_are_asked_back_when_the_only_leaf_takes_requests_again() {
     let leaf = serving_leaf("i-0", b"ok");
-    let site = serving(&[route("safe")], &[("i-0", "a", &leaf)]);
+    // An answer that waits for the leaf would come after the objective.
+    let mut route = route("safe");
+    route["target-latency-ms"] = 1_000.into();
+    let site = serving(&[route], &[("i-0", "a", &leaf)]);
     leaf.set_behaviour(Behaviour::Reject);
     leaf.set_headers("retry-after: 2\r\n");
     ask(&site, "first", 1);
