Count a request's time from its arrival, whatever came before

What callers saw: a caller with a timeout of its own, or one that had asked before, got a partial answer earlier than it needed, since the node took the difference of its timeout to those that recur on the route for time that it had spent. A test of the gateway held that: 585 ms stated after others had stated 600 counted as 15 ms spent.

The estimator of timeouts and its gossip are gone, with their tests. The kinds of datagrams and the message of an exchange keep their places, so builds beside this one still understand each other (tests 'datagrams').

The round trip to a caller came from the same inference. It is now observed: the shortest times between an answer and the next request on a connection, once four of a window are close. Unknown callers count as far as the median one, or as a connect to a leaf takes, in place of 9 ms. The test of callers at 0.3, 3 and 30 ms holds with the same bounds, from when a caller sends its request.

'losses' no longer guesses an earlier attempt from half of the objective; it tells a request that another node had had before.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -186,6 +186,12 @@
         leaf.estimate(now, usual, &self.zone) + connect.as_secs_f64()
     }
 
+    /// Returns the time that it usually takes to connect to a leaf.
+    #[must_use]
+    pub fn connect_time(&self) -> Duration {
+        self.connect_time
+    }
+
     /// Returns the leafs of a service that may be sent requests.
     #[must_use]
     pub fn leafs(&self, service: &str) -> &[Key] {
--- a/crates/dispatch/src/flight.rs
+++ b/crates/dispatch/src/flight.rs
@@ -84,8 +84,6 @@
     min_placed: usize,
     /// When a partial answer is sent if enough parts are answered.
     answer_by: Time,
-    /// When an answer must be sent to be within the objective counted from the arrival.
-    due: Time,
     /// Priority; 0 is the most urgent.
     priority: u32,
     /// Whether the request is refused at once unless leafs for all its parts are available.
@@ -116,15 +114,13 @@
             }
         };
         let margin = route.objective.mul_f64(MARGIN_SHARE);
-        let lost = timing.spent + timing.transport() + margin;
+        let lost = timing.elapsed + timing.transport() + margin;
         let answer_by = now + route.objective.saturating_sub(lost);
-        let due = now + route.objective.saturating_sub(timing.transport() + margin);
         Flight {
             parts: services.into_iter().map(Part::open).collect(),
             min_answers,
             min_placed: min_answers.max(1),
             answer_by: answer_by.min(deadline),
-            due: due.min(deadline),
             priority: route.priority,
             is_impatient: false,
             next_admission: None,
--- a/crates/dispatch/src/flight/message.rs
+++ b/crates/dispatch/src/flight/message.rs
@@ -79,9 +79,8 @@
 pub struct Timing {
     /// When the caller stops waiting.
     pub deadline: Time,
-    /// Time that the caller had spent when it sent this request: on looking up a node, on
-    /// connecting, or on earlier attempts.
-    pub spent: Duration,
+    /// Time that another node had the request before it passed it on to this one.
+    pub elapsed: Duration,
     /// Time that a message takes to the caller and back.
     pub round_trip: Duration,
     /// Time by which this node may act later than it wants to, because it is busy.
--- a/crates/dispatch/src/flight/shedding.rs
+++ b/crates/dispatch/src/flight/shedding.rs
@@ -20,7 +20,7 @@
     pub(super) fn respond_by(&self, now: Time, context: &Context<'_>) -> Time {
         match context.overload.settings.singles {
             Limit::Deadline => self.deadline,
-            Limit::Objective => Parts::InTime.respond_by(now, self.due),
+            Limit::Objective => Parts::InTime.respond_by(now, self.answer_by),
         }
     }
 
@@ -107,7 +107,7 @@
         }
         let is_left_out = |part: &Part| matches!(part.given_up, Some((_, Obstacle::Shortage)));
         for part in self.parts.iter().filter(|part| !is_left_out(part)) {
-            let is_met = part.answered_at().is_some_and(|at| at <= self.due);
+            let is_met = part.answered_at().is_some_and(|at| at <= self.answer_by);
             context.overload.observe(now, &part.service, is_met);
         }
     }
--- a/crates/dispatch/src/latency.rs
+++ b/crates/dispatch/src/latency.rs
@@ -64,10 +64,15 @@
     /// ```
     #[must_use]
     pub fn quantile(&self, share: f64) -> Duration {
-        if self.sorted.is_empty() {
-            return self.initial;
-        }
-        let rank = (share * (self.sorted.len() - 1) as f64).round() as usize;
-        Duration::from_micros(self.sorted[rank.min(self.sorted.len() - 1)].into())
+        self.observed(share).unwrap_or(self.initial)
+    }
+
+    /// Returns the response time that a `share` of the samples doesn't exceed; `None` while there are
+    /// too few samples.
+    #[must_use]
+    pub fn observed(&self, share: f64) -> Option<Duration> {
+        let last = self.sorted.len().checked_sub(1)?;
+        let rank = (share * last as f64).round() as usize;
+        Some(Duration::from_micros(self.sorted[rank.min(last)].into()))
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,8 +5,8 @@
 //! [`budget`] limits retries and hedged sends, and [`latency`] tracks response times.
 //! [`flight`] drives one request from its arrival to its answer, and [`merge`] merges the
 //! parts of a query over shards. [`split`] distributes requests over services by weight,
-//! [`caller_timeout`] estimates how long a caller has been waiting, and [`gossip`] spreads what
-//! it rests on over the nodes; [`round_trip`] estimates how far away the caller is. [`roster`]
+//! [`gossip`] has the datagrams that nodes exchange, and [`round_trip`] estimates how far away a
+//! caller is. [`roster`]
 //! tracks the other nodes and selects those that callers may use, by what these say of the leafs
 //! that they [`reach`]. [`relay`] chooses nodes that serve
 //! on behalf of one that has lost its leafs. [`overload`] decides what gives way while leafs are
@@ -21,7 +21,6 @@
 
 pub mod attribution;
 pub mod budget;
-pub mod caller_timeout;
 pub mod catalog;
 pub mod configuration;
 pub mod evacuation;
--- a/crates/dispatch/src/round_trip.rs
+++ b/crates/dispatch/src/round_trip.rs
@@ -1,85 +1,91 @@
 //! Estimates how long a message takes to a caller and back.
 //!
-//! The timeout of a request is shorter than usual by the time that its caller has spent before it
-//! sent the request. Without a connection that is the time of a connect, which takes a round
-//! trip, often after a look-up, which takes one or two. On an open connection it is the time of a
-//! look-up alone. The shortest of these times, or of their differences, is close to a round trip.
+//! A caller that uses a connection again sends its next request after it has received the answer to
+//! the one before. The shortest time between the two is therefore close to a round trip, if the
+//! caller is busy. It counts once several times are close to it: those of a caller that is idle most
+//! of the time are spread, and say nothing about the distance.
 
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::time::Duration;
 
-use crate::caller_timeout::Connection;
 use crate::latency::Latency;
 
-/// Round trip that is assumed before any was observed.
-const INITIAL: Duration = Duration::from_millis(9);
+/// Number of shortest times that must be close to each other.
+const MIN_CLOSE: usize = 4;
 
-/// Round trips that a caller needs at most to look up a node and to connect to it.
-pub const SETUP_ROUND_TRIPS: u32 = 3;
+/// Factor up to which they are close.
+const CLOSE_FACTOR: f64 = 1.5;
 
-/// Number of observations of a caller from which on those of others no longer matter.
-const MIN_OBSERVATIONS: u32 = 4;
+/// Difference up to which they are close, whatever the factor; the clocks of timers are not finer.
+const CLOSE_DIFFERENCE: Duration = Duration::from_millis(1);
 
 /// Number of observations after which older ones are dropped.
-const WINDOW: u32 = 8;
+const WINDOW: u32 = 256;
 
 /// Maximum number of callers that are tracked.
 const MAX_CALLERS: usize = 4_096;
 
-/// Shortest time in the current and the previous window.
+/// Whether a request is the first one on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Connection {
+    /// It is.
+    New,
+    /// There were others before it.
+    Open,
+}
+
+impl Connection {
+    /// Returns the name that is written to the log.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Connection::New => "new",
+            Connection::Open => "open",
+        }
+    }
+}
+
+/// Shortest times between an answer to one caller and its next request.
 #[derive(Clone, Copy, Debug)]
-struct Shortest {
-    previous: Duration,
-    current: Duration,
+struct Caller {
+    /// Shortest times in the current window, in ascending order.
+    shortest: [Duration; MIN_CLOSE],
     /// Number of observations in the current window.
     count: u32,
+    /// Estimate of the previous window.
+    previous: Option<Duration>,
 }
 
-impl Default for Shortest {
-    fn default() -> Shortest {
-        Shortest { previous: Duration::MAX, current: Duration::MAX, count: 0 }
+impl Default for Caller {
+    fn default() -> Caller {
+        Caller { shortest: [Duration::MAX; MIN_CLOSE], count: 0, previous: None }
     }
 }
 
-impl Shortest {
+impl Caller {
     fn add(&mut self, time: Duration) {
         if self.count == WINDOW {
-            *self = Shortest { previous: self.current, ..Shortest::default() };
+            *self = Caller { previous: self.current(), ..Caller::default() };
         }
-        self.current = self.current.min(time);
         self.count += 1;
+        let [.., longest] = &mut self.shortest;
+        *longest = time.min(*longest);
+        self.shortest.sort_unstable();
     }
 
-    /// Returns the shortest time; [`Duration::MAX`] if there is none.
-    fn get(&self) -> Duration {
-        self.previous.min(self.current)
-    }
-}
-
-/// Times that one caller had spent.
-#[derive(Clone, Copy, Debug, Default)]
-struct Caller {
-    /// Before the first requests of connections.
-    new: Shortest,
-    /// Before requests on open connections, where it had spent any.
-    open: Shortest,
-    observations: u32,
-}
-
-impl Caller {
-    fn add(&mut self, spent: Duration, connection: Connection) {
-        self.observations += 1;
-        match connection {
-            Connection::New => self.new.add(spent),
-            Connection::Open => self.open.add(spent),
+    /// Returns the estimate of the current window.
+    fn current(&self) -> Option<Duration> {
+        let [shortest, .., longest] = self.shortest;
+        if longest == Duration::MAX {
+            return None;
         }
+        let limit = shortest.mul_f64(CLOSE_FACTOR).max(shortest + CLOSE_DIFFERENCE);
+        (longest <= limit).then_some(shortest)
     }
 
-    fn round_trip(&self) -> Duration {
-        let (new, open) = (self.new.get(), self.open.get());
-        let shortest = new.min(open);
-        if new == Duration::MAX || new <= open { shortest } else { shortest.min(new - open) }
+    fn round_trip(&self) -> Option<Duration> {
+        self.current().or(self.previous)
     }
 }
 
@@ -93,47 +99,38 @@
 
 impl Default for Estimator {
     fn default() -> Estimator {
-        Estimator { callers: HashMap::new(), all: Latency::open(INITIAL) }
+        Estimator { callers: HashMap::new(), all: Latency::open(Duration::ZERO) }
     }
 }
 
 impl Estimator {
-    /// Records the time that a caller had spent before it sent a request. Callers that don't
-    /// count that time say nothing about it.
-    pub fn record(&mut self, address: IpAddr, spent: Duration, connection: Connection) {
-        if spent.is_zero() {
-            return;
-        }
+    /// Records the time between an answer to a caller and its next request on the same connection.
+    pub fn record(&mut self, address: IpAddr, time: Duration) {
         if self.callers.len() == MAX_CALLERS && !self.callers.contains_key(&address) {
             self.callers.clear();
         }
         let caller = self.callers.entry(address).or_default();
-        caller.add(spent, connection);
-        self.all.add(caller.round_trip());
+        caller.add(time);
+        if let Some(round_trip) = caller.round_trip() {
+            self.all.add(round_trip);
+        }
     }
 
-    /// Returns the estimated round trip to a caller.
+    /// Returns the estimated round trip to a caller: that of the median caller if this one hasn't
+    /// shown its own, and `unknown` if none has.
     ///
     /// ```
     /// use std::time::Duration;
-    /// use jacinthfall_dispatch::caller_timeout::Connection;
     /// use jacinthfall_dispatch::round_trip::Estimator;
-    /// let caller = [10, 0, 0, 1].into();
+    /// let (ms, caller) = (Duration::from_millis, [10, 0, 0, 1].into());
     /// let mut estimator = Estimator::default();
-    /// estimator.record(caller, Duration::from_millis(22), Connection::New);
-    /// estimator.record(caller, Duration::from_millis(15), Connection::Open);
-    /// assert_eq!(estimator.round_trip(caller), Duration::from_millis(7));
+    /// assert_eq!(estimator.round_trip(caller, ms(5)), ms(5));
+    /// [40, 8, 900, 7, 9, 8].iter().for_each(|time| estimator.record(caller, ms(*time)));
+    /// assert_eq!(estimator.round_trip(caller, ms(5)), ms(7));
     /// ```
     #[must_use]
-    pub fn round_trip(&self, address: IpAddr) -> Duration {
-        let typical = self.all.quantile(0.5);
-        match self.callers.get(&address) {
-            Some(caller) if caller.observations >= MIN_OBSERVATIONS => caller.round_trip(),
-            Some(caller) => {
-                let longest = caller.round_trip();
-                typical.clamp(longest / SETUP_ROUND_TRIPS, longest)
-            }
-            None => typical,
-        }
+    pub fn round_trip(&self, address: IpAddr, unknown: Duration) -> Duration {
+        let own = self.callers.get(&address).and_then(Caller::round_trip);
+        own.or_else(|| self.all.observed(0.5)).unwrap_or(unknown)
     }
 }
--- a/src/gateway/audit/lines.rs
+++ b/src/gateway/audit/lines.rs
@@ -54,7 +54,7 @@
     let (tally, timing) = (request.tally, request.timing);
     lines.push(format!(
         "event=answer id={:?} request={} route={} organisation={:?} outcome={} detail={} took_ms={} waited_ms={} parts={} \
-         done={} dead={} extra={} missing=[{}] objective_ms={} deadline_ms={} spent_ms={} \
+         done={} dead={} extra={} missing=[{}] objective_ms={} deadline_ms={} elapsed_ms={} \
          connection={} transport_ms={} lag_ms={} \
          version={} origin={} behind_ms={} upto={} known_ms={} steps_left_out={skipped} passed_over={passed_over}",
         header_text(request.id),
@@ -72,7 +72,7 @@
         format_missing(tables, request.flight),
         request.route.objective.as_millis(),
         timing.deadline.since(request.arrived).as_millis(),
-        timing.spent.as_millis(),
+        timing.elapsed.as_millis(),
         request.connection.name(),
         timing.transport().as_millis(),
         timing.lag.as_millis(),
--- a/src/gateway/callers/mod.rs
+++ b/src/gateway/callers/mod.rs
@@ -13,8 +13,8 @@
 
 use std::convert::Infallible;
 use std::net::IpAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,15 +25,17 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use jacinthfall_dispatch::caller_timeout::Connection;
+use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::flight::{Answer, Flight};
 use jacinthfall_dispatch::roster::Phase;
+use jacinthfall_dispatch::round_trip::Connection;
 use jacinthfall_net::acceptor::Acceptor;
 use jacinthfall_route::snapshot::{Limits, Route, Snapshot, Target};
 use tokio::net::{TcpListener, TcpStream};
 
 use super::hub::Hub;
 use super::leafs::Outbound;
+use crate::util::lock::lock;
 pub use relay::serve_relayed;
 
 use driver::Driver;
@@ -78,15 +80,16 @@
     let mut closing = hub.closing.subscribe();
     let service = {
         let hub = Arc::clone(&hub);
-        let in_use = AtomicBool::new(false);
+        let answered = Arc::new(Mutex::new(None));
         service_fn(move |request| {
-            let hub = Arc::clone(&hub);
-            let connection = match in_use.swap(true, Ordering::Relaxed) {
-                false => Connection::New,
-                true => Connection::Open,
-            };
+            let (hub, answered) = (Arc::clone(&hub), Arc::clone(&answered));
+            let connection = observe_connection(&hub, address, *lock(&answered));
             let caller = Caller { address, connection };
-            async move { Ok::<_, Infallible>(answer(&hub, request, caller).await) }
+            async move {
+                let response = answer(&hub, request, caller).await;
+                *lock(&answered) = Some(hub.now());
+                Ok::<_, Infallible>(response)
+            }
         })
     };
     // hyper counts the idle time before a request as part of reading its head.
@@ -109,6 +112,13 @@
     }
 }
 
+/// Records how long after the latest answer on its connection a request has come.
+fn observe_connection(hub: &Hub, address: IpAddr, answered: Option<Time>) -> Connection {
+    let Some(answered) = answered else { return Connection::New };
+    hub.tables().round_trips.record(address, hub.now().since(answered));
+    Connection::Open
+}
+
 /// Counts a request as in flight until it is dropped.
 struct InFlight<'a>(&'a Hub);
 
--- a/src/gateway/callers/relay.rs
+++ b/src/gateway/callers/relay.rs
@@ -123,7 +123,7 @@
             headers: encode_headers(&outbound.headers),
             body: outbound.body.clone(),
             left,
-            spent: timing.spent + now.since(*arrived),
+            elapsed: timing.elapsed + now.since(*arrived),
             round_trip: timing.round_trip,
             connection: outbound.connection,
         })
@@ -405,7 +405,7 @@
             body: query.body.clone(),
             timing: Timing {
                 deadline: now + query.left,
-                spent: query.spent,
+                elapsed: query.elapsed,
                 round_trip: query.round_trip,
                 lag: tables.lag(),
             },
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -23,7 +23,7 @@
 use jacinthfall_dispatch::quarantine::{self, Fingerprint};
 use jacinthfall_dispatch::roster::{Demand, Node, Phase, Roster};
 use jacinthfall_dispatch::transfer::Slots;
-use jacinthfall_dispatch::{gossip, overload, relay, round_trip};
+use jacinthfall_dispatch::{overload, relay, round_trip};
 use jacinthfall_net::clock::Clock;
 use jacinthfall_route::snapshot::Snapshot;
 use metrics::counter;
@@ -133,8 +133,7 @@
             budget: Budget::open(settings.budget(), nodes),
             overload: overload::State::open(settings.overload),
             routes: HashMap::new(),
-            gossip: gossip::Table::default(),
-            gossip_received: false,
+            quarantine_received: false,
             quarantine: quarantine::Table::open(hash::unit_interval(seed)),
             relays: relay::Selector::default(),
             relay_trial: relay::Trial::default(),
--- a/src/gateway/peers/exchange.rs
+++ b/src/gateway/peers/exchange.rs
@@ -34,8 +34,8 @@
 pub(super) struct Query {
     /// Place in the store's history up to which the sender of the query knows all changes.
     upto: Position,
-    /// Whether no other node has told the sender yet what is known about callers.
-    lacks_gossip: bool,
+    /// Whether no other node has told the sender yet what is known of requests that crash leafs.
+    lacks_quarantine: bool,
 }
 
 /// Response of an exchange: the changes after the place in the query.
@@ -50,8 +50,8 @@
     /// All nodes, the responding one included, if the node that asks knows nothing yet; else
     /// empty.
     nodes: Vec<Node>,
-    /// What is known about callers, if the node that asks lacks it; else empty.
-    gossip: Vec<gossip::Row>,
+    /// Timeouts of callers; sent by earlier builds and ignored.
+    timeouts: Vec<gossip::Row>,
     /// What is known of requests that crash leafs, if the node that asks lacks it; else empty.
     quarantine: Vec<quarantine::Row>,
 }
@@ -70,8 +70,12 @@
         leafs: tables.catalog.changes_since(query.upto),
         upto: tables.upto,
         nodes,
-        gossip: if query.lacks_gossip { tables.gossip.all(hub.now()) } else { Vec::new() },
-        quarantine: if query.lacks_gossip { tables.quarantine.all(hub.now()) } else { Vec::new() },
+        timeouts: Vec::new(),
+        quarantine: if query.lacks_quarantine {
+            tables.quarantine.all(hub.now())
+        } else {
+            Vec::new()
+        },
     }
 }
 
@@ -112,7 +116,7 @@
     let query = {
         let tables = hub.tables();
         let upto = if tables.unverified.is_some() { Position::START } else { tables.upto };
-        Query { upto, lacks_gossip: !tables.gossip_received }
+        Query { upto, lacks_quarantine: !tables.quarantine_received }
     };
     let peer = Peer::open(peer).await?;
     let updates = peer.ask(PATH, &query).await?;
@@ -130,8 +134,8 @@
     let (before, changed, first) = {
         let mut tables = hub.tables();
         let before = tables.upto;
-        updates.gossip.iter().for_each(|row| tables.gossip.merge(now, row));
-        tables.gossip_received |= tables.phase == Phase::Serving || !updates.gossip.is_empty();
+        tables.quarantine_received |=
+            tables.phase == Phase::Serving || !updates.quarantine.is_empty();
         if updates.upto.era >= before.era {
             tables.unverified = None;
         }
--- a/src/gateway/peers/heartbeats.rs
+++ b/src/gateway/peers/heartbeats.rs
@@ -55,8 +55,9 @@
         let targets = targets(&hub, &mut rng, beat.phase != phase);
         phase = beat.phase;
         send_to_all(&socket, &Datagram::Heartbeat(beat), &targets);
-        let (news, targets) = gossip(&hub, &mut rng);
-        news.iter().for_each(|datagram| send_to_all(&socket, datagram, &targets));
+        if let Some((news, targets)) = quarantine(&hub, &mut rng) {
+            send_to_all(&socket, &news, &targets);
+        }
         send_evacuations(&hub, &socket, &mut rng);
         if let Some((report, targets)) = shortage(&hub, &mut rng) {
             send_to_all(&socket, &report, &targets);
@@ -86,23 +87,15 @@
     }
 }
 
-/// Returns what is new about callers and their requests, and the nodes that it is sent to.
-fn gossip(hub: &Hub, rng: &mut ChaCha8Rng) -> (Vec<Datagram>, Vec<SocketAddr>) {
+/// Returns what is new about requests that crash leafs, and the nodes that it is sent to.
+fn quarantine(hub: &Hub, rng: &mut ChaCha8Rng) -> Option<(Datagram, Vec<SocketAddr>)> {
     let mut tables = hub.tables();
-    let mut news = Vec::new();
-    let rows = tables.gossip.next_message(hub.now());
-    if !rows.is_empty() {
-        news.push(Datagram::Gossip(rows));
-    }
     let rows = tables.quarantine.next_message(hub.now());
-    if !rows.is_empty() {
-        news.push(Datagram::Quarantine(rows));
-    }
-    if news.is_empty() {
-        return (news, Vec::new());
+    if rows.is_empty() {
+        return None;
     }
     let members = tables.roster.members().map(|member| member.node.peers);
-    (news, members.choose_multiple(rng, GOSSIP_TARGETS))
+    Some((Datagram::Quarantine(rows), members.choose_multiple(rng, GOSSIP_TARGETS)))
 }
 
 /// Returns what this node observes of short shards, and the nodes that it is sent to: some of
@@ -172,11 +165,7 @@
             bincode::serde::decode_from_slice::<Datagram, _>(&buffer[..length], standard());
         let beat = match decoded {
             Ok((Datagram::Heartbeat(beat), _)) => beat,
-            Ok((Datagram::Gossip(rows), _)) => {
-                let mut tables = hub.tables();
-                rows.iter().for_each(|row| tables.gossip.merge(hub.now(), row));
-                continue;
-            }
+            Ok((Datagram::Gossip(_), _)) => continue,
             Ok((Datagram::Quarantine(rows), _)) => {
                 hub.merge_quarantine(&rows);
                 continue;
@@ -227,7 +216,7 @@
             let verifies =
                 tables.unverified.is_some() && is_same_era && beat.phase == Phase::Serving;
             let ahead = beat.upto > tables.upto || verifies;
-            if !ahead && !tables.gossip_received && is_settled(&beat.node, &hub.own) {
+            if !ahead && !tables.quarantine_received && is_settled(&beat.node, &hub.own) {
                 let _ = exchanges.try_send(beat.node.peers);
             }
             (ahead, ahead && tables.roster.is_follower_of_store(now, &hub.own))
--- a/src/gateway/peers/relay.rs
+++ b/src/gateway/peers/relay.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use jacinthfall_core::id;
-use jacinthfall_dispatch::caller_timeout::Connection;
+use jacinthfall_dispatch::round_trip::Connection;
 use jacinthfall_net::client::Client;
 use jacinthfall_net::server;
 use serde::{Deserialize, Serialize};
@@ -93,8 +93,8 @@
     pub body: Bytes,
     /// Time until the answer must be back.
     pub left: Duration,
-    /// Time that the caller has spent until now.
-    pub spent: Duration,
+    /// Time since a node got the request from the caller.
+    pub elapsed: Duration,
     /// Time that a message takes to the caller and back, the way between the nodes not included.
     pub round_trip: Duration,
     /// Whether the request was the first one on the caller's connection.
--- a/src/gateway/tables.rs
+++ b/src/gateway/tables.rs
@@ -9,13 +9,11 @@
 use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::budget::Budget;
-use jacinthfall_dispatch::caller_timeout::Estimator;
 use jacinthfall_dispatch::catalog::Catalog;
 use jacinthfall_dispatch::configuration::Ranks;
 use jacinthfall_dispatch::evacuation;
 use jacinthfall_dispatch::fleet::{Fleet, Key, connections_per_node};
 use jacinthfall_dispatch::flight::{Context, Timing};
-use jacinthfall_dispatch::gossip;
 use jacinthfall_dispatch::latency::Latency;
 use jacinthfall_dispatch::overload;
 use jacinthfall_dispatch::quarantine;
@@ -102,14 +100,12 @@
     pub latency: Latency,
     /// Distributes the requests of a split route over its services.
     pub selector: Selector,
-    /// Estimates the timeouts of callers.
-    pub caller_timeout: Estimator,
 }
 
 impl Statistics {
     fn open(route: &Route) -> Statistics {
         let latency = Latency::open(route.objective.mul_f64(INITIAL_LATENCY_SHARE));
-        Statistics { latency, selector: Selector::default(), caller_timeout: Estimator::default() }
+        Statistics { latency, selector: Selector::default() }
     }
 }
 
@@ -151,10 +147,8 @@
     pub overload: overload::State,
     /// Statistics by route.
     pub routes: HashMap<id::Name, Statistics>,
-    /// Timeouts of callers that this node or others have observed.
-    pub gossip: gossip::Table,
-    /// Whether another node has sent all that it knows about callers.
-    pub gossip_received: bool,
+    /// Whether another node has sent all that it knows of requests that crash leafs.
+    pub quarantine_received: bool,
     /// Requests that were present at crashes of leafs.
     pub quarantine: quarantine::Table,
     /// Nodes that serve requests on behalf of this one.
@@ -234,20 +228,20 @@
         statistics(&mut self.routes, route)
     }
 
-    /// Returns what is known of a caller's time when a request of a route arrives, and records
-    /// the timeout that the request states.
+    /// Returns what is known of a caller's time when a request of a route arrives that states a
+    /// timeout.
+    #[must_use]
     pub fn timing(
-        &mut self,
+        &self,
         now: Time,
         route: &Route,
         stated: Option<Duration>,
         caller: Caller,
     ) -> Timing {
-        let spent = stated.map(|timeout| self.time_spent(now, route, timeout, caller));
         Timing {
             deadline: now + stated.unwrap_or(route.timeout).min(route.timeout),
-            spent: spent.unwrap_or_default(),
-            round_trip: self.round_trips.round_trip(caller.address),
+            elapsed: Duration::ZERO,
+            round_trip: self.round_trips.round_trip(caller.address, self.fleet.connect_time()),
             lag: self.lag(),
         }
     }
@@ -258,27 +252,6 @@
         self.lag.quantile(LAG_QUANTILE)
     }
 
-    fn time_spent(
-        &mut self,
-        now: Time,
-        route: &Route,
-        timeout: Duration,
-        caller: Caller,
-    ) -> Duration {
-        let key = gossip::Route::of(&route.name);
-        let shared = self.gossip.timeouts(now, key);
-        let estimator = &mut statistics(&mut self.routes, route).caller_timeout;
-        let spent = estimator.spent(timeout, caller.connection, &shared);
-        for first in estimator.first_timeouts() {
-            self.gossip.observe(now, key, first);
-        }
-        // A caller that has spent much of its time has made earlier attempts.
-        if spent < route.objective / 2 {
-            self.round_trips.record(caller.address, spent, caller.connection);
-        }
-        spent
-    }
-
     /// Replaces the configuration in force.
     pub fn put_in_force(&mut self, now: Time, document: &Document, snapshot: Arc<Snapshot>) {
         let Document { edition, packed, .. } = document;
--- a/src/ops/explain/render.rs
+++ b/src/ops/explain/render.rs
@@ -103,9 +103,9 @@
     if let Some(origin) = end.get("origin").filter(|origin| *origin != "-") {
         lines.push(format!("The caller had sent it to node {origin}, which asked this one."));
     }
-    let spent = end.number("spent_ms");
-    if spent > 0 {
-        lines.push(format!("The caller had spent {spent} ms on earlier attempts."));
+    let elapsed = end.number("elapsed_ms");
+    if elapsed > 0 {
+        lines.push(format!("The other node had had it for {elapsed} ms."));
     }
     lines
 }
--- a/src/ops/losses/cause.rs
+++ b/src/ops/losses/cause.rs
@@ -2,6 +2,7 @@
 
 use serde::Serialize;
 
+use super::round_trip_ms;
 use crate::ops::explain::Line;
 
 /// Expected response time from which a leaf that didn't answer counts as one that was known to
@@ -30,9 +31,9 @@
     LeafFailed,
     /// The request waited for free leafs.
     Admission,
-    /// The caller had spent the time on an earlier attempt.
-    EarlierAttempt,
-    /// The caller had spent the time on a look-up or a connect, or the answer on its way.
+    /// Another node had the request most of the time before it passed it on.
+    OtherNode,
+    /// The request and its answer took the time on their way.
     Transport,
     /// The route allowed no further attempt.
     Attempts,
@@ -74,8 +75,8 @@
             Cause::Unreached => "leaf not reached",
             Cause::LeafFailed => "leaf failed",
             Cause::Admission => "admission",
-            Cause::EarlierAttempt => "earlier attempt",
-            Cause::Transport => "look-up, connect or way",
+            Cause::OtherNode => "other node",
+            Cause::Transport => "way",
             Cause::Attempts => "attempts",
             Cause::Budget => "budget",
             Cause::NodeBusy => "node busy",
@@ -104,9 +105,8 @@
     pub(super) fn of_lateness(steps: &[Line], answer: &Line) -> Cause {
         let (took, objective) = (answer.number("took_ms"), answer.number("objective_ms"));
         if took <= objective {
-            let is_retry = answer.number("spent_ms") * 2 > objective;
-            let is_told = answer.get("connection").is_some();
-            return if is_told && !is_retry { Cause::Transport } else { Cause::EarlierAttempt };
+            let was_elsewhere = answer.number("elapsed_ms") > round_trip_ms(answer);
+            return if was_elsewhere { Cause::OtherNode } else { Cause::Transport };
         }
         if answer.number("waited_ms") * 2 > took {
             return Cause::Admission;
--- a/src/ops/losses/mod.rs
+++ b/src/ops/losses/mod.rs
@@ -261,7 +261,7 @@
 /// Whether an answer reached its caller after the objective of its route, which nodes of earlier
 /// releases don't log.
 fn is_late(answer: &Line) -> bool {
-    let total = answer.number("took_ms") + answer.number("spent_ms") + round_trip_ms(answer);
+    let total = answer.number("took_ms") + answer.number("elapsed_ms") + round_trip_ms(answer);
     answer.get("objective_ms").is_some() && total > answer.number("objective_ms")
 }
 
