--- a/crates/dispatch/src/round_trip.rs
+++ b/crates/dispatch/src/round_trip.rs
@@ -11,6 +11,9 @@
 
 use crate::latency::Latency;
 
+/// Number of observations of a caller below which its shortest time may be far from a round trip.
+const MIN_OBSERVATIONS: u32 = 32;
+
 /// Number of shortest times that must be close to each other.
 const MIN_CLOSE: usize = 4;
 
@@ -77,7 +80,7 @@
     /// Returns the estimate of the current window.
     fn current(&self) -> Option<Duration> {
         let [shortest, .., longest] = self.shortest;
-        if longest == Duration::MAX {
+        if self.count < MIN_OBSERVATIONS {
             return None;
         }
         let limit = shortest.mul_f64(CLOSE_FACTOR).max(shortest + CLOSE_DIFFERENCE);
@@ -125,7 +128,7 @@
     /// let (ms, caller) = (Duration::from_millis, [10, 0, 0, 1].into());
     /// let mut estimator = Estimator::default();
     /// assert_eq!(estimator.round_trip(caller, ms(5)), ms(5));
-    /// [40, 8, 900, 7, 9, 8].iter().for_each(|time| estimator.record(caller, ms(*time)));
+    /// (0..32).for_each(|n| estimator.record(caller, ms(7 + n / 4)));
     /// assert_eq!(estimator.round_trip(caller, ms(5)), ms(7));
     /// ```
     #[must_use]
