Send late parts to leafs as fast as usual

A part that was late got a leaf that answers within 0.4 of the latency objective from now on: a share of a time that has passed already, so nothing that its caller still has. It now gets one that answers within the usual response time, whatever the objective is. That keeps late parts off leafs that are slowed by their load, as before.

--- a/crates/dispatch/src/flight/placement.rs
+++ b/crates/dispatch/src/flight/placement.rs
@@ -19,12 +19,6 @@
 /// Maximum time between two searches for a leaf by a queued part.
 pub(super) const MAX_SEARCH_INTERVAL: Duration = Duration::from_millis(12);
 
-/// Time within which a leaf must be able to answer a part of a query that is late or has
-/// less time left than this, as a share of the objective. Late queries don't get the whole
-/// time until the deadline, because they would fill leafs that others need in order to be on
-/// time.
-const OVERDUE_SHARE: f64 = 0.4;
-
 /// Number of sends that reached no leaf up to which a part may be sent again. Such sends
 /// don't count toward the maximum number of attempts of the route.
 const MAX_UNSENT: usize = 3;
@@ -101,7 +95,10 @@
         let usual = context.latency.quantile(0.5);
         let respond_by = match self.route.target {
             Target::Gather(_) => {
-                let late = now + self.route.objective.mul_f64(OVERDUE_SHARE);
+                // A part that can't be in time any more goes to a leaf that is as fast as usual. With
+                // the time until the deadline, late parts would fill leafs that others need in
+                // order to be in time.
+                let late = now + usual;
                 context.overload.settings.parts.respond_by(now, self.answer_by.max(late))
             }
             Target::Service(_) | Target::Split(_) => self.respond_by(now, context),
--- a/crates/dispatch/tests/suite/flight.rs
+++ b/crates/dispatch/tests/suite/flight.rs
@@ -502,6 +502,31 @@
     assert_eq!(wait_for_refusal(2_000, 40, 50), Duration::ZERO);
 }
 
+/// Returns whether a part of a query that came with `left_ms` until its deadline is sent to the only
+/// leaf, which runs `running` requests and usually takes `usual_ms`.
+fn is_sent_to_a_loaded_leaf(left_ms: u64, running: usize, usual_ms: u64) -> bool {
+    let names = shards(1);
+    let route = gather(names.clone(), 1.0);
+    let mut bench = Bench::open(Arc::clone(&route), &names, 1);
+    let usual = Duration::from_millis(usual_ms);
+    bench.latency = Latency::open(usual);
+    bench.flight = Flight::open(route, None, Time(0), timing(Time::from_millis(left_ms)));
+    let leaf = bench.fleet.leafs("shard-0")[0];
+    (0..running).for_each(|_| bench.fleet.record_send(Time(0), leaf, usual));
+    let actions = bench.decide(|flight, context| flight.start(Time(0), context));
+    !sends(&actions).is_empty()
+}
+
+/// Without a load, a leaf is tried whatever time is left.
+#[test]
+fn a_part_without_time_goes_only_to_leafs_that_are_not_slowed_by_their_load() {
+    for usual_ms in [20, 60] {
+        assert!(is_sent_to_a_loaded_leaf(12, 0, usual_ms), "{usual_ms}");
+        assert!(!is_sent_to_a_loaded_leaf(12, 3, usual_ms), "{usual_ms}");
+        assert!(is_sent_to_a_loaded_leaf(1_500, 1, usual_ms), "{usual_ms}");
+    }
+}
+
 #[test]
 fn a_resend_after_a_send_that_reached_no_leaf_needs_no_budget() {
     let mut bench = Bench::with_floor(Arc::new(single("a", false)), &services(), 3, 0.0);
