Let a partial answer leave as early as its way takes

How far the way varies doesn't depend on the objective. The round trip and the delay of the timers are observed, the latter as its 0.9 quantile, twice; that is what is kept free now. A deadline before the objective counts in the same way: the answer has to arrive before it.

--- a/crates/dispatch/src/flight.rs
+++ b/crates/dispatch/src/flight.rs
@@ -37,10 +37,6 @@
 
 use part::Part;
 
-/// Share of the objective by which a partial answer is sent early, since the time on the way
-/// varies. A late answer is worth far less to a caller than one that lacks a few parts.
-const MARGIN_SHARE: f64 = 0.04;
-
 /// State outside of the request that its decisions depend on.
 #[derive(Debug)]
 pub struct Context<'a> {
@@ -82,7 +78,8 @@
     min_answers: usize,
     /// Minimum number of parts that must have an available leaf at the same time to be sent.
     min_placed: usize,
-    /// When a partial answer is sent if enough parts are answered.
+    /// When an answer must leave to be useful: to arrive within the objective, and before the caller
+    /// stops waiting. A partial answer is sent then if enough parts are answered.
     answer_by: Time,
     /// Priority; 0 is the most urgent.
     priority: u32,
@@ -113,14 +110,13 @@
                 (shares.iter().take(1).map(|share| share.service.clone()).collect(), 1)
             }
         };
-        let margin = route.objective.mul_f64(MARGIN_SHARE);
-        let lost = timing.elapsed + timing.transport() + margin;
-        let answer_by = now + route.objective.saturating_sub(lost);
+        let useful_until = (now + route.objective.saturating_sub(timing.elapsed)).min(deadline);
+        let answer_by = now + useful_until.since(now).saturating_sub(timing.transport());
         Flight {
             parts: services.into_iter().map(Part::open).collect(),
             min_answers,
             min_placed: min_answers.max(1),
-            answer_by: answer_by.min(deadline),
+            answer_by,
             priority: route.priority,
             is_impatient: false,
             next_admission: None,
