Round a retry delay up to milliseconds

What callers saw: 'Retry-After: 0.000' for a delay below half a millisecond, so that they came back at once. Cause: the header was written with three digits, rounded. It is rounded up now and never below 0.001.

--- a/src/gateway/callers/response.rs
+++ b/src/gateway/callers/response.rs
@@ -58,13 +58,19 @@
     retry_after: Duration,
 ) -> Response<Full<Bytes>> {
     let mut response = text(status, reason);
-    let seconds = format!("{:.3}", retry_after.as_secs_f64());
-    if let Ok(value) = HeaderValue::from_str(&seconds) {
+    if let Ok(value) = HeaderValue::from_str(&format_delay(retry_after)) {
         response.headers_mut().insert(RETRY_AFTER, value);
     }
     response
 }
 
+/// Returns a delay in seconds, rounded up to milliseconds: rounded down, a short one would let the
+/// caller come back at once.
+fn format_delay(delay: Duration) -> String {
+    let millis = delay.as_micros().div_ceil(1_000).max(1);
+    format!("{}.{:03}", millis / 1_000, millis % 1_000)
+}
+
 /// Returns the rejection of a request without a valid key.
 pub(super) fn unauthorized(reason: &'static str) -> Response<Full<Bytes>> {
     let mut response = text(StatusCode::UNAUTHORIZED, reason);
