Tell refused callers to come back when room is expected

What callers saw: a delay of 500 ms wherever none was known, at least 30 ms, and one to two latency objectives after a refusal by rank. None follows from when there is room, nor from the time that the caller has left.

The delay is now the time at which enough parts are expected to have a leaf: a paused one when its pause ends, one with a rate limit as before, a busy one once it has answered a request of the usual length. Callers are spread over as long again. Callers wait for a third of the time that they have left at most (PROTOCOL.md), so that bounds the spread; where nothing can be expected they are told a time in its second half.

Evidence: the new tests vary the work and the time left by factors; a busy leaf gave 30 ms, whatever it was busy with.

--- a/crates/dispatch/src/flight.rs
+++ b/crates/dispatch/src/flight.rs
@@ -9,7 +9,7 @@
 //!
 //! `message` defines the inputs and outputs of the state machine, `part` the state of one part,
 //! and `trail` the steps that are written to the log. The decisions are in `admission`,
-//! `placement`, `resend`, `shedding` and `ending`.
+//! `placement`, `resend`, `retry`, `shedding` and `ending`.
 
 use std::sync::Arc;
 
@@ -28,6 +28,7 @@
 mod part;
 mod placement;
 mod resend;
+mod retry;
 mod shedding;
 mod trail;
 
@@ -52,6 +53,8 @@
     pub priority: u32,
     /// Random number from 0 to 1 that is the same for a caller's request at each node.
     pub lot: f64,
+    /// Random number from 0 to 1 that spreads the times at which refused callers come back.
+    pub jitter: f64,
     /// Whether the request must not be sent to a further leaf, because it crashes them.
     pub is_quarantined: bool,
 }
--- a/crates/dispatch/src/flight/admission.rs
+++ b/crates/dispatch/src/flight/admission.rs
@@ -12,16 +12,10 @@
 
 use super::message::{Action, Answer};
 use super::placement::{MIN_SEARCH_INTERVAL, found_leaf};
-use super::{Context, Flight};
+use super::{Context, Flight, retry};
 use crate::fleet::{Need, Placement};
 use crate::latency::Latency;
 
-/// Minimum retry delay that is sent to a refused caller.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(30);
-
-/// Retry delay for a refused caller if it isn't known when a leaf will be available.
-pub(super) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// Returns when the leafs that are unavailable for now can be tried again.
 fn later(placement: &Placement) -> Option<Time> {
     match placement {
@@ -116,9 +110,9 @@
         placements
     }
 
-    /// Returns the delay after which the caller should retry: by then all leafs that are
-    /// unavailable for now can be tried again. If too few services are left without those that
-    /// this node has lost, it isn't known when that will be.
+    /// Returns the delay after which the caller should retry: by then enough parts are expected to
+    /// have a leaf. If too few services are left without those that this node has lost, it isn't
+    /// known when that will be.
     fn retry_delay(
         &self,
         now: Time,
@@ -126,15 +120,25 @@
         context: &mut Context<'_>,
     ) -> Duration {
         let lost = self.parts.iter().filter(|part| context.fleet.is_lost(&part.service)).count();
-        if self.parts.len() - lost < self.min_answers.max(1) {
-            return DEFAULT_RETRY_AFTER;
+        if self.parts.len() - lost < self.min_placed {
+            return retry::delay(now, self.deadline, None, context.jitter);
+        }
+        let usual = context.latency.quantile(0.5);
+        let mut times = Vec::new();
+        for (part, placement) in self.parts.iter().zip(placements) {
+            match placement {
+                // A leaf that is busy has room once it has answered a request.
+                Placement::Queue(at) | Placement::Later(at) => times.push((*at).max(now + usual)),
+                Placement::RateLimited(at) => {
+                    times.push(context.fleet.schedule_return(now, &part.service, *at));
+                }
+                Placement::Leaf(_) | Placement::NoLeaf => {}
+            }
         }
-        let times = self.parts.iter().zip(placements).filter_map(|(part, placement)| {
-            let at = later(placement)?;
-            Some(context.fleet.schedule_return(now, &part.service, at))
-        });
-        let delay = times.max().map(|at| at.since(now));
-        delay.unwrap_or(DEFAULT_RETRY_AFTER).max(MIN_RETRY_AFTER)
+        times.sort_unstable();
+        let missing = self.min_placed.saturating_sub(placed(placements)).max(1);
+        let room = times.get(missing - 1).copied();
+        retry::delay(now, self.deadline, room, context.jitter)
     }
 
     /// Records which parts had no leaf when the request was refused.
--- a/crates/dispatch/src/flight/ending.rs
+++ b/crates/dispatch/src/flight/ending.rs
@@ -7,9 +7,8 @@
 use jacinthfall_core::time::Time;
 use jacinthfall_route::snapshot::Target;
 
-use super::admission::DEFAULT_RETRY_AFTER;
 use super::message::{Action, Answer};
-use super::{Context, Flight};
+use super::{Context, Flight, retry};
 use crate::merge;
 
 impl Flight {
@@ -60,7 +59,7 @@
             let given_up = self.parts.iter().filter(|part| part.is_given_up());
             let available =
                 given_up.filter_map(|part| context.fleet.available_at(now, &part.service)).max();
-            let retry_after = available.map_or(DEFAULT_RETRY_AFTER, |at| at.since(now));
+            let retry_after = retry::delay(now, self.deadline, available, context.jitter);
             return Answer::Refused { retry_after };
         }
         let is_gather = matches!(self.route.target, Target::Gather(_));
--- a/crates/dispatch/src/flight/shedding.rs
+++ b/crates/dispatch/src/flight/shedding.rs
@@ -6,15 +6,12 @@
 
 use super::part::{Obstacle, Part};
 use super::placement::MAX_SEARCH_INTERVAL;
-use super::{Context, Flight};
+use super::{Context, Flight, retry};
 use crate::fleet::{Order, Placement};
 use crate::overload::shortage::Shard;
 use crate::overload::threshold::Claim;
 use crate::overload::{Limit, Parts, Policy};
 
-/// Minimum retry delay of a request that ranks too low, in latency objectives.
-const MIN_RETRY_OBJECTIVES: f64 = 1.0;
-
 impl Flight {
     /// Returns when the response to a request to a single service is needed.
     pub(super) fn respond_by(&self, now: Time, context: &Context<'_>) -> Time {
@@ -81,7 +78,7 @@
         for part in low {
             self.parts[part].given_up = Some((now, Obstacle::Shortage));
         }
-        Some(self.route.objective.mul_f64(MIN_RETRY_OBJECTIVES + context.lot))
+        Some(retry::delay(now, self.deadline, None, context.jitter))
     }
 
     /// Records which shards had no leaf for a part when the request was first placed.
--- a/crates/dispatch/tests/suite/main.rs
+++ b/crates/dispatch/tests/suite/main.rs
@@ -14,6 +14,7 @@
 mod quota;
 mod rate_limits;
 mod reach;
+mod refusals;
 mod relay;
 mod restore;
 mod roster;
--- a/crates/dispatch/tests/suite/support/cluster.rs
+++ b/crates/dispatch/tests/suite/support/cluster.rs
@@ -383,8 +383,17 @@
         let Node { fleet, budget, latencies, overload } = &mut self.nodes[number];
         let latency = &latencies[kind];
         let priority = self.plan.kinds[kind].route.priority;
-        let mut context =
-            Context { fleet, budget, latency, overload, priority, lot, is_quarantined: false };
+        let jitter = self.rng.random();
+        let mut context = Context {
+            fleet,
+            budget,
+            latency,
+            overload,
+            priority,
+            lot,
+            jitter,
+            is_quarantined: false,
+        };
         for action in decision(&mut flight, &mut context) {
             match action {
                 Action::Send { part, leaf } => {
--- a/crates/dispatch/tests/suite/support/load.rs
+++ b/crates/dispatch/tests/suite/support/load.rs
@@ -206,6 +206,7 @@
                 overload,
                 priority: 1,
                 lot: 0.5,
+                jitter: 0.5,
                 is_quarantined: false,
             },
         );
--- a/crates/dispatch/tests/suite/support/mod.rs
+++ b/crates/dispatch/tests/suite/support/mod.rs
@@ -144,6 +144,7 @@
                 overload,
                 priority: 1,
                 lot: 0.5,
+                jitter: 0.5,
                 is_quarantined: false,
             },
         )
--- a/src/gateway/tables.rs
+++ b/src/gateway/tables.rs
@@ -23,6 +23,7 @@
 use jacinthfall_dispatch::split::Selector;
 use jacinthfall_dispatch::transfer::{Edition, Slots};
 use jacinthfall_route::snapshot::{Route, Snapshot};
+use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
 use super::callers::Caller;
@@ -183,7 +184,7 @@
         let sharing =
             if self.is_active() { self.nodes } else { self.nodes.max(self.roster.len() + 1) };
         self.budget.set_nodes(sharing);
-        let Tables { routes, fleet, budget, overload, .. } = self;
+        let Tables { routes, fleet, budget, overload, rng, .. } = self;
         let latency = &statistics(routes, route).latency;
         Context {
             fleet,
@@ -192,6 +193,7 @@
             overload,
             priority: route.priority,
             lot: 0.5,
+            jitter: rng.random(),
             is_quarantined: false,
         }
     }
