Hedge a part while a second leaf still has the usual time to answer

The hedge delay was bounded by 0.4 of the time left for parts of queries and 0.6 for other requests. It is now bounded by the time left less the usual response time, which is what a second leaf needs. The reasons of the other shares, and of the response time assumed at first, are stated.

--- a/crates/dispatch/src/flight/resend.rs
+++ b/crates/dispatch/src/flight/resend.rs
@@ -28,17 +28,12 @@
 /// chosen leaf.
 const MIN_HEDGE_EXPECTED_FACTOR: f64 = 1.3;
 
-/// Upper bound on the hedge delay of one part of a query over shards, as a share of the
-/// time left.
-const MAX_HEDGE_SHARE_GATHER: f64 = 0.4;
-
-/// Upper bound on the hedge delay of a request to one leaf, as a share of the time left.
-const MAX_HEDGE_SHARE_SINGLE: f64 = 0.6;
-
-/// Share of the parts of a query that must have ended before late ones are hedged early.
+/// Share of the parts of a query that must have ended before late ones are hedged early. If fewer
+/// have, the usual part is late, so that the cause isn't a single leaf.
 const MIN_HEDGE_PROGRESS: f64 = 0.4;
 
-/// Share of the time until the answer is due after which late parts are hedged in any case.
+/// Share of the time until the answer is due after which late parts are hedged in any case: a node
+/// that is behind has had most of the time to catch up, and the second leafs have some to answer.
 const MAX_BEHIND_SHARE: f64 = 0.6;
 
 /// Interval between two attempts to hedge a late part while no leaf can take it or the budget
@@ -52,15 +47,14 @@
 const RESEND_INTERVAL: Duration = Duration::from_millis(6);
 
 impl Flight {
-    /// Returns the time after which a part counts as late and is hedged.
+    /// Returns the time after which a part counts as late and is hedged, while a second leaf still
+    /// has the usual time to answer.
     fn hedge_delay(&self, now: Time, latency: &Latency) -> Duration {
-        let max_delay = latency.quantile(0.5).mul_f64(MAX_HEDGE_MEDIAN_FACTOR);
+        let usual = latency.quantile(0.5);
+        let max_delay = usual.mul_f64(MAX_HEDGE_MEDIAN_FACTOR);
         let delay = latency.quantile(HEDGE_QUANTILE).mul_f64(HEDGE_QUANTILE_FACTOR);
-        let share = match self.route.target {
-            Target::Gather(_) => MAX_HEDGE_SHARE_GATHER,
-            Target::Service(_) | Target::Split(_) => MAX_HEDGE_SHARE_SINGLE,
-        };
-        delay.min(max_delay).min(self.answer_by.since(now).mul_f64(share))
+        let time_left = self.answer_by.since(now);
+        delay.min(max_delay).min(time_left.saturating_sub(usual))
     }
 
     /// Sends a part to a leaf and schedules its hedge if this is the first send.
--- a/src/gateway/tables.rs
+++ b/src/gateway/tables.rs
@@ -52,7 +52,8 @@
 /// Delay of this node's timers before any was measured.
 pub const INITIAL_LAG: Duration = Duration::from_millis(2);
 
-/// Expected response time before any was measured, as a share of the route's latency objective.
+/// Expected response time before any was measured, as a share of the route's latency objective. An
+/// operator sets an objective that leafs can meet; the first responses replace this.
 const INITIAL_LATENCY_SHARE: f64 = 0.2;
 
 /// The configuration in force.
