Refuse a request at once if no leaf lately answered in the time left

What callers saw: a request with less time left than its work takes, such as a late retry, was sent to a leaf all the same, kept there until its deadline and failed. The obstacle 'deadline' is logged and counted by 'losses'. The new test failed before (sent with 39 ms left where leafs take 40 ms or more).

--- a/crates/dispatch/src/flight.rs
+++ b/crates/dispatch/src/flight.rs
@@ -179,9 +179,12 @@
             context.budget.record_request(now, &part.service);
         }
         self.priority = context.priority;
+        if self.is_hopeless(now, context.latency) {
+            self.parts.iter_mut().for_each(|part| part.given_up = Some((now, Obstacle::Deadline)));
+            return self.refuse(now, retry::delay(now, self.deadline, None, context.jitter));
+        }
         if let Some(retry_after) = self.ranks_too_low(now, context) {
-            self.admitted_at = Some(now);
-            return self.finish(Answer::Refused { retry_after });
+            return self.refuse(now, retry_after);
         }
         self.admit(now, context)
     }
--- a/crates/dispatch/src/flight/admission.rs
+++ b/crates/dispatch/src/flight/admission.rs
@@ -55,6 +55,18 @@
         self.min_placed as f64 / (self.parts.len() + 1) as f64
     }
 
+    /// Whether no leaf has lately answered within the time until the deadline.
+    pub(super) fn is_hopeless(&self, now: Time, latency: &Latency) -> bool {
+        let left = self.deadline.since(now);
+        latency.observed(0.0).is_some_and(|shortest| shortest > left)
+    }
+
+    /// Refuses the request before anything of it was sent.
+    pub(super) fn refuse(&mut self, now: Time, retry_after: Duration) -> Vec<Action> {
+        self.admitted_at = Some(now);
+        self.finish(Answer::Refused { retry_after })
+    }
+
     /// Sends the request once enough parts have an available leaf at the same time, and
     /// refuses it once that isn't expected in time any more. A query that can't be answered
     /// thus takes no capacity from those that can.
@@ -66,11 +78,10 @@
             let candidates =
                 placements.iter().filter(|placement| may_get_leaf(placement, send_by)).count();
             if candidates < self.min_placed || now >= send_by {
-                self.admitted_at = Some(now);
                 self.give_up_unplaced(now, &placements);
                 self.leave_queues(context);
                 let retry_after = self.retry_delay(now, &placements, context);
-                return self.finish(Answer::Refused { retry_after });
+                return self.refuse(now, retry_after);
             }
             let next = placements
                 .iter()
--- a/crates/dispatch/src/flight/part.rs
+++ b/crates/dispatch/src/flight/part.rs
@@ -55,6 +55,8 @@
     Lost,
     /// Its shard is short of room that other queries need more.
     Shortage,
+    /// No leaf has lately answered within the time that the caller has left.
+    Deadline,
 }
 
 impl Obstacle {
@@ -70,7 +72,8 @@
             | Obstacle::NoLeaf
             | Obstacle::Quarantine
             | Obstacle::Lost
-            | Obstacle::Shortage => false,
+            | Obstacle::Shortage
+            | Obstacle::Deadline => false,
         }
     }
 
@@ -88,6 +91,7 @@
             Obstacle::NodeBusy => "node_busy",
             Obstacle::Lost => "lost",
             Obstacle::Shortage => "shortage",
+            Obstacle::Deadline => "deadline",
         }
     }
 }
--- a/crates/dispatch/tests/suite/refusals.rs
+++ b/crates/dispatch/tests/suite/refusals.rs
@@ -7,7 +7,7 @@
 use jacinthfall_dispatch::flight::{Answer, Flight};
 use jacinthfall_dispatch::latency::Latency;
 
-use crate::support::{Bench, answer, gather, shards, timing};
+use crate::support::{Bench, answer, gather, sends, shards, timing};
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -66,3 +66,21 @@
 
     assert!(delays.windows(2).all(|pair| pair[0] < pair[1]), "{delays:?}");
 }
+
+/// Returns whether a request is sent to an idle leaf, if it comes with `left` until its deadline and
+/// leafs lately took 40 ms or more.
+fn is_sent(left: Duration) -> bool {
+    let names = shards(1);
+    let route = gather(names.clone(), 1.0);
+    let mut bench = Bench::open(Arc::clone(&route), &names, 1);
+    (0..100).for_each(|n| bench.latency.add(ms(40 + n)));
+    bench.flight = Flight::open(route, None, Time(0), timing(Time(0) + left));
+    let actions = bench.decide(|flight, context| flight.start(Time(0), context));
+    !sends(&actions).is_empty()
+}
+
+#[test]
+fn a_request_with_less_time_than_any_leaf_takes_is_refused_at_once() {
+    assert!(!is_sent(ms(39)));
+    assert!(is_sent(ms(41)));
+}
--- a/src/ops/losses/cause.rs
+++ b/src/ops/losses/cause.rs
@@ -47,6 +47,8 @@
     LinksLost,
     /// The answer of another node, which served the request, was lost.
     AnswerLost,
+    /// The caller had less time left than any leaf lately took.
+    Deadline,
     /// The node had just started.
     NodeStarting,
     /// The request had no key of an organisation, which its route needs.
@@ -83,6 +85,7 @@
             Cause::MayHaveRun => "may have run",
             Cause::LinksLost => "links to leafs lost",
             Cause::AnswerLost => "answer of another node lost",
+            Cause::Deadline => "deadline too short",
             Cause::NodeStarting => "node starting",
             Cause::NoKey => "no key",
             Cause::UnknownKey => "unknown key",
@@ -177,6 +180,7 @@
             "node_busy" => Cause::NodeBusy,
             "may_have_run" => Cause::MayHaveRun,
             "lost" => Cause::LinksLost,
+            "deadline" => Cause::Deadline,
             _ => Cause::Unknown,
         }
     }
