Weigh leafs of other zones by the way that connects show

A leaf of another zone counted as 13 ms slower than one in the node's zone. The way now weighs what it takes: the time by which connects to leafs of that zone take longer than to those of the node's own. The new test fails with the constant: leafs of a zone at no distance were never chosen.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -77,6 +77,8 @@
     returns: HashMap<id::Name, Time>,
     /// Time that it usually takes to connect to a leaf.
     connect_time: Duration,
+    /// Time that it usually takes to connect to a leaf, by the leaf's zone.
+    connect_times: HashMap<id::Name, Duration>,
     /// Which services this node reaches.
     reach: Tracker,
     /// Zones that nothing may be sent to.
@@ -103,6 +105,7 @@
             share: 1.0,
             returns: HashMap::new(),
             connect_time: INITIAL_CONNECT_TIME,
+            connect_times: HashMap::new(),
             reach: Tracker::default(),
             closed: Closed::default(),
             warmups: warmup::Tracker::default(),
@@ -183,7 +186,16 @@
     /// Returns the cost of sending a leaf a request that usually takes `usual`, in seconds.
     fn cost(&self, now: Time, leaf: &Leaf, usual: Duration) -> f64 {
         let connect = if leaf.is_connected(now) { Duration::ZERO } else { self.connect_time };
-        leaf.estimate(now, usual, &self.zone) + connect.as_secs_f64()
+        let way = self.distance(&leaf.entry.zone) + connect;
+        leaf.estimate(now, usual) + way.as_secs_f64()
+    }
+
+    /// Returns by how much a round trip to a zone takes longer than within this node's zone, as far
+    /// as connects have shown it.
+    fn distance(&self, zone: &str) -> Duration {
+        let there = self.connect_times.get(zone);
+        let here = self.connect_times.get(&self.zone);
+        there.zip(here).map_or(Duration::ZERO, |(there, here)| there.saturating_sub(*here))
     }
 
     /// Returns the time that it usually takes to connect to a leaf.
@@ -339,8 +351,10 @@
     /// new connections until now, all leafs are tried again.
     pub fn record_connect(&mut self, key: Key, took: Duration) {
         self.record_connected(key);
-        let (old, new) = (1.0 - CONNECT_TIME_WEIGHT, CONNECT_TIME_WEIGHT);
-        self.connect_time = self.connect_time.mul_f64(old) + took.mul_f64(new);
+        self.connect_time = average(self.connect_time, took);
+        let Some(leaf) = self.leafs.get(&key) else { return };
+        let in_zone = self.connect_times.entry(leaf.entry.zone.clone()).or_insert(took);
+        *in_zone = average(*in_zone, took);
     }
 
     /// Records the queue length that a leaf reported.
@@ -372,6 +386,11 @@
     }
 }
 
+/// Adds a connect to the moving average of their times.
+fn average(mean: Duration, took: Duration) -> Duration {
+    mean.mul_f64(1.0 - CONNECT_TIME_WEIGHT) + took.mul_f64(CONNECT_TIME_WEIGHT)
+}
+
 /// Returns the number of connections that one of `nodes` nodes may open to a leaf that
 /// accepts `accepted` from all of them.
 ///
--- a/crates/dispatch/src/fleet/leaf.rs
+++ b/crates/dispatch/src/fleet/leaf.rs
@@ -27,9 +27,6 @@
 /// Maximum pause of a leaf that can't be reached.
 const MAX_PAUSE: Duration = Duration::from_millis(2_000);
 
-/// Penalty for sending to another availability zone, added to the expected response time.
-const CROSS_ZONE_PENALTY: Duration = Duration::from_millis(13);
-
 /// Silence after which a leaf with requests in flight counts as stalled, in usual response
 /// times.
 const STALL_FACTOR: f64 = 1.5;
@@ -397,16 +394,14 @@
     }
 
     /// Returns the cost of sending it a request that usually takes `usual`: the expected
-    /// response time, in seconds, with penalties for distance, stalls and failures. The time to
-    /// connect is not included.
-    pub(super) fn estimate(&self, now: Time, usual: Duration, zone: &str) -> f64 {
+    /// response time, in seconds, with penalties for stalls and failures. The way to it and the time
+    /// to connect are not included.
+    pub(super) fn estimate(&self, now: Time, usual: Duration) -> f64 {
         let response = usual.as_secs_f64() * self.slowness(now);
         let warmup = if self.warmup.is_slow(now) { 1.6 } else { 1.0 };
         let work = response * warmup * self.queueing_factor(now, response);
-        let distance =
-            if *self.entry.zone == *zone { 0.0 } else { CROSS_ZONE_PENALTY.as_secs_f64() };
         let stall = 4.0 * self.stall(now, usual).as_secs_f64();
         let failures = 8.0 * self.failure_rate(now) * usual.as_secs_f64();
-        work + distance + stall + failures
+        work + stall + failures
     }
 }
--- a/crates/dispatch/tests/suite/fleet.rs
+++ b/crates/dispatch/tests/suite/fleet.rs
@@ -294,3 +294,29 @@
     assert!(placed(&mut fleet, waiting));
     assert!(placed(&mut fleet, Turn { priority: 0, ..later }));
 }
+
+/// Returns how often each of two idle leafs is chosen of 100 times, the second one in another zone, if
+/// connects to it take `took`.
+fn choices(took: Duration) -> [usize; 2] {
+    let mut fleet = fleet(&["a".into()], 2);
+    let leafs = fleet.leafs("a").to_vec();
+    for _ in 0..50 {
+        fleet.record_connect(leafs[0], Duration::from_millis(1));
+        fleet.record_connect(leafs[1], took);
+    }
+    let mut chosen = [0; 2];
+    for _ in 0..100 {
+        let leaf = place(&mut fleet, Time(0), &[]).expect("an idle leaf");
+        chosen[usize::from(leaf == leafs[1])] += 1;
+    }
+    chosen
+}
+
+#[test]
+fn leafs_of_another_zone_are_avoided_as_far_as_connects_show_that_it_is_distant() {
+    let [_, far] = choices(Duration::from_millis(14));
+    let [near, close] = choices(Duration::from_millis(1));
+
+    assert_eq!(far, 0);
+    assert!(near >= 30 && close >= 30, "{near} {close}");
+}
