Rest the wait for a leaf on observed response times only

callers_beyond_the_limit_of_cold_leafs_are_refused_and_a_warm_leaf_has_none failed in 4 of 6 runs beside four busy processes: a request was refused at once with 'why=leafs_busy' by a leaf that was busy for a moment. Its route had an objective of 4 s and no response yet, so that a fifth of the objective, 800 ms, was taken for the time of the work, more than the 500 ms to its deadline.

--- a/crates/dispatch/src/flight/admission.rs
+++ b/crates/dispatch/src/flight/admission.rs
@@ -40,12 +40,12 @@
 
 impl Flight {
     /// Returns when the request must be sent for its answer to be expected in time, given the usual
-    /// response times of its parts.
+    /// response times of its parts. While none were observed, it may be sent to the last.
     fn send_by(&self, latency: &Latency) -> Time {
         if self.is_impatient {
             return self.arrived;
         }
-        let response = latency.quantile(self.expected_rank());
+        let response = latency.observed(self.expected_rank()).unwrap_or_default();
         self.arrived + self.answer_by.since(self.arrived).saturating_sub(response)
     }
 
@@ -134,12 +134,14 @@
         if self.parts.len() - lost < self.min_placed {
             return retry::delay(now, self.deadline, None, context.jitter);
         }
-        let usual = context.latency.quantile(0.5);
+        let usual = context.latency.observed(0.5);
         let mut times = Vec::new();
         for (part, placement) in self.parts.iter().zip(placements) {
             match placement {
                 // A leaf that is busy has room once it has answered a request.
-                Placement::Queue(at) | Placement::Later(at) => times.push((*at).max(now + usual)),
+                Placement::Queue(at) | Placement::Later(at) => {
+                    times.extend(usual.map(|usual| (*at).max(now + usual)));
+                }
                 Placement::RateLimited(at) => {
                     times.push(context.fleet.schedule_return(now, &part.service, *at));
                 }
--- a/crates/dispatch/tests/suite/support/mod.rs
+++ b/crates/dispatch/tests/suite/support/mod.rs
@@ -96,6 +96,13 @@
     Timing { deadline, elapsed: Duration::ZERO, round_trip, lag }
 }
 
+/// Returns the response times of a route whose leafs all took `usual`.
+pub fn latency(usual: Duration) -> Latency {
+    let mut latency = Latency::open(usual);
+    (0..32).for_each(|_| latency.add(usual));
+    latency
+}
+
 /// A request with the state that its decisions depend on.
 pub struct Bench {
     /// Leafs that the request is placed on.
