Don't spread callers whose turn a rate limit gives

Callers that are refused for a rate limit get a time each at which it allows one more request; spreading that over as long again made them wait half longer than needed on average. The retry delay now knows whether the time is the caller's own, shared, or unknown.

--- a/crates/dispatch/src/flight.rs
+++ b/crates/dispatch/src/flight.rs
@@ -37,6 +37,7 @@
 pub use trail::{Event, Step};
 
 use part::Part;
+use retry::Room;
 
 /// State outside of the request that its decisions depend on.
 #[derive(Debug)]
@@ -181,7 +182,8 @@
         self.priority = context.priority;
         if self.is_hopeless(now, context.latency) {
             self.parts.iter_mut().for_each(|part| part.given_up = Some((now, Obstacle::Deadline)));
-            return self.refuse(now, retry::delay(now, self.deadline, None, context.jitter));
+            return self
+                .refuse(now, retry::delay(now, self.deadline, Room::Unknown, context.jitter));
         }
         if let Some(retry_after) = self.ranks_too_low(now, context) {
             return self.refuse(now, retry_after);
--- a/crates/dispatch/src/flight/admission.rs
+++ b/crates/dispatch/src/flight/admission.rs
@@ -12,7 +12,8 @@
 
 use super::message::{Action, Answer};
 use super::placement::{MIN_SEARCH_INTERVAL, found_leaf};
-use super::{Context, Flight, retry};
+use super::retry::{self, Room};
+use super::{Context, Flight};
 use crate::fleet::{Need, Placement};
 use crate::latency::Latency;
 
@@ -132,25 +133,25 @@
     ) -> Duration {
         let lost = self.parts.iter().filter(|part| context.fleet.is_lost(&part.service)).count();
         if self.parts.len() - lost < self.min_placed {
-            return retry::delay(now, self.deadline, None, context.jitter);
+            return retry::delay(now, self.deadline, Room::Unknown, context.jitter);
         }
         let usual = context.latency.observed(0.5);
-        let mut times = Vec::new();
+        let mut rooms = Vec::new();
         for (part, placement) in self.parts.iter().zip(placements) {
             match placement {
                 // A leaf that is busy has room once it has answered a request.
                 Placement::Queue(at) | Placement::Later(at) => {
-                    times.extend(usual.map(|usual| (*at).max(now + usual)));
+                    rooms.extend(usual.map(|usual| Room::Expected((*at).max(now + usual))));
                 }
                 Placement::RateLimited(at) => {
-                    times.push(context.fleet.schedule_return(now, &part.service, *at));
+                    let turn = context.fleet.schedule_return(now, &part.service, *at);
+                    rooms.push(Room::Reserved(turn));
                 }
                 Placement::Leaf(_) | Placement::NoLeaf => {}
             }
         }
-        times.sort_unstable();
-        let missing = self.min_placed.saturating_sub(placed(placements)).max(1);
-        let room = times.get(missing - 1).copied();
+        let missing = self.min_placed.saturating_sub(placed(placements));
+        let room = Room::of_parts(rooms, missing);
         retry::delay(now, self.deadline, room, context.jitter)
     }
 
--- a/crates/dispatch/src/flight/ending.rs
+++ b/crates/dispatch/src/flight/ending.rs
@@ -8,7 +8,8 @@
 use jacinthfall_route::snapshot::Target;
 
 use super::message::{Action, Answer};
-use super::{Context, Flight, retry};
+use super::retry::{self, Room};
+use super::{Context, Flight};
 use crate::merge;
 
 impl Flight {
@@ -59,7 +60,8 @@
             let given_up = self.parts.iter().filter(|part| part.is_given_up());
             let available =
                 given_up.filter_map(|part| context.fleet.available_at(now, &part.service)).max();
-            let retry_after = retry::delay(now, self.deadline, available, context.jitter);
+            let room = available.map_or(Room::Unknown, Room::Expected);
+            let retry_after = retry::delay(now, self.deadline, room, context.jitter);
             return Answer::Refused { retry_after };
         }
         let is_gather = matches!(self.route.target, Target::Gather(_));
--- a/crates/dispatch/src/flight/shedding.rs
+++ b/crates/dispatch/src/flight/shedding.rs
@@ -6,7 +6,8 @@
 
 use super::part::{Obstacle, Part};
 use super::placement::MAX_SEARCH_INTERVAL;
-use super::{Context, Flight, retry};
+use super::retry::{self, Room};
+use super::{Context, Flight};
 use crate::fleet::{Order, Placement};
 use crate::overload::shortage::Shard;
 use crate::overload::threshold::Claim;
@@ -78,7 +79,7 @@
         for part in low {
             self.parts[part].given_up = Some((now, Obstacle::Shortage));
         }
-        Some(retry::delay(now, self.deadline, None, context.jitter))
+        Some(retry::delay(now, self.deadline, Room::Unknown, context.jitter))
     }
 
     /// Records which shards had no leaf for a part when the request was first placed.
