Tell callers the end of a pause also while response times are unknown

Since no response time was known, the end of the leaf's pause was ignored and a time in the second half of what callers heed was told. A known time is now told in any case, and callers are spread over one response, the pace at which room appears, in place of as long again as they have to wait.

--- a/crates/dispatch/src/flight/admission.rs
+++ b/crates/dispatch/src/flight/admission.rs
@@ -135,13 +135,14 @@
         if self.parts.len() - lost < self.min_placed {
             return retry::delay(now, self.deadline, Room::Unknown, context.jitter);
         }
-        let usual = context.latency.observed(0.5);
+        let response = context.latency.quantile(0.5);
         let mut rooms = Vec::new();
         for (part, placement) in self.parts.iter().zip(placements) {
             match placement {
                 // A leaf that is busy has room once it has answered a request.
                 Placement::Queue(at) | Placement::Later(at) => {
-                    rooms.extend(usual.map(|usual| Room::Expected((*at).max(now + usual))));
+                    let at = (*at).max(now + response);
+                    rooms.push(Room::Expected { at, response });
                 }
                 Placement::RateLimited(at) => {
                     let turn = context.fleet.schedule_return(now, &part.service, *at);
--- a/crates/dispatch/src/flight/ending.rs
+++ b/crates/dispatch/src/flight/ending.rs
@@ -60,7 +60,8 @@
             let given_up = self.parts.iter().filter(|part| part.is_given_up());
             let available =
                 given_up.filter_map(|part| context.fleet.available_at(now, &part.service)).max();
-            let room = available.map_or(Room::Unknown, Room::Expected);
+            let response = context.latency.quantile(0.5);
+            let room = available.map_or(Room::Unknown, |at| Room::Expected { at, response });
             let retry_after = retry::delay(now, self.deadline, room, context.jitter);
             return Answer::Refused { retry_after };
         }
--- a/crates/dispatch/src/flight/retry.rs
+++ b/crates/dispatch/src/flight/retry.rs
@@ -16,7 +16,12 @@
     /// At this time, which is the request's alone.
     Reserved(Time),
     /// At about this time, for the request or others.
-    Expected(Time),
+    Expected {
+        /// When there is room for the first one.
+        at: Time,
+        /// Time after which there is room for the next one.
+        response: Duration,
+    },
     /// It isn't known when.
     Unknown,
 }
@@ -31,21 +36,21 @@
 
     fn time(self) -> Option<Time> {
         match self {
-            Room::Reserved(at) | Room::Expected(at) => Some(at),
+            Room::Reserved(at) | Room::Expected { at, .. } => Some(at),
             Room::Unknown => None,
         }
     }
 }
 
 /// Returns the delay after which a caller with a deadline should come back. `jitter`, from 0 to 1,
-/// spreads callers over as long again as it takes until room is expected, as far as they wait. Where
-/// nothing is known, they come back in the second half of the time that they wait at most.
+/// spreads callers over the time of one response, as far as they wait. Where nothing is known, they
+/// come back in the second half of the time that they wait at most.
 pub(super) fn delay(now: Time, deadline: Time, room: Room, jitter: f64) -> Duration {
     let heeded = deadline.since(now) / HEEDED_PART;
-    let earliest = match room {
-        Room::Reserved(at) => return at.since(now),
-        Room::Expected(at) => at.since(now),
-        Room::Unknown => heeded / 2,
+    let (earliest, spread) = match room {
+        Room::Reserved(at) => (at.since(now), Duration::ZERO),
+        Room::Expected { at, response } => (at.since(now), response),
+        Room::Unknown => (heeded / 2, heeded),
     };
-    earliest + earliest.min(heeded.saturating_sub(earliest)).mul_f64(jitter)
+    earliest + spread.min(heeded.saturating_sub(earliest)).mul_f64(jitter)
 }
--- a/crates/dispatch/tests/suite/admission.rs
+++ b/crates/dispatch/tests/suite/admission.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use jacinthfall_core::time::Time;
+use jacinthfall_dispatch::fleet::Ending;
 use jacinthfall_dispatch::flight::{Answer, Flight};
 use jacinthfall_dispatch::latency::Latency;
 use jacinthfall_route::snapshot::Route;
@@ -174,3 +175,24 @@
 
     assert!(delays.windows(2).all(|pair| pair[0] < pair[1]), "{delays:?}");
 }
+
+/// Guards against a known end of a pause that callers aren't told, or much later, while no response
+/// times are known.
+#[test]
+fn callers_come_back_soon_after_the_pause_of_the_only_leaf() {
+    let mut bench = Query { timeout: ms(6_000), running: 0, ..QUERY }.arrive();
+    bench.latency = Latency::open(ms(20));
+    let leaf = bench.fleet.leafs("shard-0")[0];
+    (0..3).for_each(|_| {
+        bench.fleet.record_send(Time(1), leaf, ms(20));
+        bench.fleet.record_end(Time(1), leaf, Time(1), Ending::Unreachable);
+    });
+
+    let actions = bench.decide(|flight, context| {
+        context.jitter = 1.0;
+        flight.start(Time(1), context)
+    });
+
+    let Some(Answer::Refused { retry_after }) = answer(actions) else { panic!("no refusal") };
+    assert!((ms(240)..=ms(280)).contains(&retry_after), "{retry_after:?}");
+}
