review: show that cancelled queries of another node end a node for good

A node that serves queries for another one, whose callers leave early, keeps sends as in flight whose tasks were aborted before they began, and then gives their leafs nothing any more. It refuses every query over the shards until its process is restarted. Shown by a script.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/release/jacinthfalld ] && [ -x target/release/review-rig-2 ] || exit 2
-exec timeout --kill-after=5 110 target/release/review-rig-2 silent "$here/record.txt"
+exec timeout --kill-after=5 110 target/release/review-rig-2 leave "$here/record.txt"
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -2,6 +2,7 @@
 //!
 //! It exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run.
 
+mod leave;
 mod rig;
 mod silent;
 
@@ -15,6 +16,7 @@
         std::process::exit(rig::CANT_RUN);
     };
     let run = match case.as_str() {
+        "leave" => leave::run,
         "silent" => silent::run,
         _ => {
             eprintln!("review-rig-2: there is no case {case}");
--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -122,10 +122,12 @@
     Ok(Some(message))
 }
 
-/// Free loopback ports.
+/// Free ports of a loopback address that only this process uses.
 pub fn free_ports(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
+    let [.., third, fourth] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, 77, third, fourth.max(1));
+    let bind = || TcpListener::bind((host, 0)).expect("a free port");
+    let listeners: Vec<TcpListener> = (0..count).map(|_| bind()).collect();
     listeners.iter().map(|listener| listener.local_addr().unwrap()).collect()
 }
 
@@ -539,3 +541,150 @@
     }
     let (_, _) = (from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both));
 }
+
+/// Opens a way to the store over which leafs have other addresses: each first one is replaced by
+/// the second one in what is read. So one node reaches leafs by ways of its own.
+pub fn open_view(store: SocketAddr, addresses: Vec<(SocketAddr, SocketAddr)>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().unwrap();
+    let names: Arc<Vec<(String, String)>> =
+        Arc::new(addresses.iter().map(|(a, b)| (format!("\"{a}\""), format!("\"{b}\""))).collect());
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let Ok(onward) = TcpStream::connect(store) else { continue };
+            let (_, _) = (stream.set_nodelay(true), onward.set_nodelay(true));
+            let (mut from, mut to) = (stream.try_clone().unwrap(), onward.try_clone().unwrap());
+            thread::spawn(move || {
+                let _ = io::copy(&mut from, &mut to);
+                let _ = to.shutdown(Shutdown::Both);
+            });
+            let names = Arc::clone(&names);
+            let (mut from, mut to) = (onward, stream);
+            thread::spawn(move || {
+                while let Ok(Some(mut message)) = read_message(&mut from) {
+                    message.body = replace(&message.body, &names);
+                    let mut text = format!("{}\r\n", message.first);
+                    for (name, value) in &message.headers {
+                        if name != "content-length" {
+                            text.push_str(&format!("{name}: {value}\r\n"));
+                        }
+                    }
+                    text.push_str(&format!("content-length: {}\r\n\r\n", message.body.len()));
+                    let mut bytes = text.into_bytes();
+                    bytes.extend_from_slice(&message.body);
+                    if to.write_all(&bytes).is_err() {
+                        break;
+                    }
+                }
+                let _ = to.shutdown(Shutdown::Both);
+            });
+        }
+    });
+    address
+}
+
+/// Replaces addresses in the values of a response of the store.
+fn replace(body: &[u8], names: &[(String, String)]) -> Vec<u8> {
+    let text = String::from_utf8_lossy(body).into_owned();
+    let mut result = String::new();
+    let mut rest = text.as_str();
+    while let Some(at) = rest.find("\"value\":\"") {
+        let begin = at + 9;
+        result.push_str(&rest[..begin]);
+        let end = begin + rest[begin..].find('"').unwrap();
+        let value = String::from_utf8_lossy(&decode64(&rest[begin..end])).into_owned();
+        let value = names.iter().fold(value, |value, (from, to)| value.replace(from, to));
+        result.push_str(&encode64(value.as_bytes()));
+        rest = &rest[end..];
+    }
+    result.push_str(rest);
+    result.into_bytes()
+}
+
+const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+fn decode64(text: &str) -> Vec<u8> {
+    let (mut bytes, mut bits, mut count) = (Vec::new(), 0u32, 0);
+    for digit in text.bytes().filter_map(|c| DIGITS.iter().position(|d| *d == c)) {
+        bits = bits << 6 | digit as u32;
+        count += 6;
+        if count >= 8 {
+            count -= 8;
+            bytes.push((bits >> count) as u8);
+            bits &= (1 << count) - 1;
+        }
+    }
+    bytes
+}
+
+fn encode64(bytes: &[u8]) -> String {
+    let mut text = String::new();
+    for chunk in bytes.chunks(3) {
+        let bits =
+            chunk.iter().fold(0u32, |bits, b| bits << 8 | u32::from(*b)) << (8 * (3 - chunk.len()));
+        for n in 0..4 {
+            let digit = DIGITS[(bits >> (18 - 6 * n)) as usize & 63] as char;
+            text.push(if n <= chunk.len() { digit } else { '=' });
+        }
+    }
+    text
+}
+
+/// Opens a way to a leaf, and returns its address. While it is cut, connections are refused and open
+/// ones end.
+pub fn open_path(leaf: SocketAddr, cut: Arc<AtomicBool>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let mut listener = Some(listener);
+        let mut open: Vec<TcpStream> = Vec::new();
+        loop {
+            if cut.load(Ordering::SeqCst) {
+                listener = None;
+                open.drain(..).for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
+                sleep_ms(2);
+                continue;
+            }
+            let bind = || TcpListener::bind(address).expect("its port");
+            let listener = listener.get_or_insert_with(bind);
+            let _ = listener.set_nonblocking(true);
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(Duration::from_micros(500));
+                continue;
+            };
+            let _ = stream.set_nonblocking(false);
+            let Ok(onward) = TcpStream::connect(leaf) else { continue };
+            let (_, _) = (stream.set_nodelay(true), onward.set_nodelay(true));
+            open.retain(|stream| stream.peer_addr().is_ok());
+            for (from, to) in [(&stream, &onward), (&onward, &stream)] {
+                let (mut from, mut to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
+                thread::spawn(move || {
+                    let _ = io::copy(&mut from, &mut to);
+                    let (_, _) = (from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both));
+                });
+            }
+            open.push(stream);
+            open.push(onward);
+        }
+    });
+    address
+}
+
+/// Gives a process a share of a core: it runs at full speed until its allowance is used up, and
+/// then not at all for the rest of that tenth of a second. Ends with this process.
+pub fn throttle(process: u32, share: f64) {
+    extern "C" {
+        fn kill(process: i32, signal: i32) -> i32;
+    }
+    const SIGCONT: i32 = 18;
+    const SIGSTOP: i32 = 19;
+    thread::spawn(move || {
+        loop {
+            // Sound: the call has no memory effects, and the process is a child of this one.
+            unsafe { kill(process as i32, SIGSTOP) };
+            thread::sleep(Duration::from_secs_f64(0.1 * (1.0 - share)));
+            unsafe { kill(process as i32, SIGCONT) };
+            thread::sleep(Duration::from_secs_f64(0.1 * share));
+        }
+    });
+}
