--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -1,5 +1,6 @@
 //! Serves the platform's stand-in over HTTP.
 
+use std::borrow::Cow;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -246,10 +247,10 @@
 struct Query<'a>(&'a str);
 
 impl Query<'_> {
-    /// Value of a parameter; empty if it is absent.
-    fn text(&self, name: &str) -> &str {
-        let mut pairs = self.0.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(key, _)| *key == name).map_or("", |(_, value)| value)
+    /// Decoded value of a parameter; empty if it is absent.
+    fn text(&self, name: &str) -> Cow<'_, str> {
+        let mut pairs = form_urlencoded::parse(self.0.as_bytes());
+        pairs.find(|(key, _)| key == name).map(|(_, value)| value).unwrap_or_default()
     }
 }
 
@@ -260,7 +261,7 @@
 async fn get(shared: &Shared, view: &View, query: &Query<'_>) -> Reply {
     admit(shared, Call::Read).await?;
     let state = shared.lock();
-    match state.store.get(query.text("key")) {
+    match state.store.get(&query.text("key")) {
         Some(item) => Ok(json(&encode(item, view))),
         None => Err(Failure::Status(StatusCode::NOT_FOUND)),
     }
@@ -269,17 +270,18 @@
 async fn range(shared: &Shared, view: &View, query: &Query<'_>) -> Reply {
     admit(shared, Call::Read).await?;
     let state = shared.lock();
-    let (items, has_more) = state.store.range(query.text("prefix"), query.text("after"));
+    let (items, has_more) = state.store.range(&query.text("prefix"), &query.text("after"));
     let items = items.iter().map(|item| encode(item, view)).collect();
     Ok(json(&message::Page { items, has_more, as_of: state.store.revision() }))
 }
 
 async fn watch(shared: &Shared, view: &View, query: &Query<'_>) -> Reply {
-    let after = number(query.text("after"))?;
-    let wait = Duration::from_millis(number(query.text("wait-ms"))?);
+    let after = number(&query.text("after"))?;
+    let wait = Duration::from_millis(number(&query.text("wait-ms"))?);
     admit(shared, Call::Read).await?;
     let _waiting = Waiting::open(shared);
-    let changes = changes(shared, query.text("prefix"), after);
+    let prefix = query.text("prefix");
+    let changes = changes(shared, &prefix, after);
     let events = match tokio::time::timeout(wait, changes).await {
         Ok(events) => events?,
         Err(_) if shared.lock().silent => std::future::pending().await,
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -100,6 +100,46 @@
     assert_eq!(value(&platform.client, "k").await.as_deref(), Some(&b"b"[..]));
 }
 
+/// Characters that stand for something else in a URL, or that can't be in one.
+const RESERVED: [&str; 8] = ["&", "+", "#", "%", "%41", " ", "=", "ä"];
+
+/// Regression test: a listing that went on after a key with such a character never ended, left out
+/// keys or failed.
+#[tokio::test]
+async fn a_listing_goes_on_after_a_key_with_any_characters() {
+    for odd in RESERVED {
+        let platform = platform(settings()).await;
+        let full_page = (0..store::MAX_PAGE_KEYS - 1).map(|number| format!("a/{number:04}"));
+        let keys: Vec<Arc<str>> =
+            full_page.chain([format!("b{odd}c"), "d".into()]).map(Arc::from).collect();
+        let put = keys.iter().map(|key| control::Put { key: key.clone(), value: Some("1".into()) });
+        platform.change(Change { put: put.collect(), ..Change::default() }).await;
+
+        let listing = bounded(platform.client.list("")).await;
+
+        let listing = listing.unwrap_or_else(|error| panic!("{odd:?}: {error}"));
+        let listed: Vec<Arc<str>> = listing.items.into_iter().map(|item| item.key).collect();
+        let end = &listed[store::MAX_PAGE_KEYS - 1..];
+        assert!(listed == keys, "{odd:?}: the listing ends with {end:?}");
+    }
+}
+
+#[tokio::test]
+async fn keys_with_any_characters_are_read_and_watched() {
+    for odd in RESERVED {
+        let platform = platform(settings()).await;
+        let key = format!("b{odd}c/d");
+        let written = swap(&platform.client, &key, 0, "1").await.unwrap();
+
+        let read = value(&platform.client, &key).await;
+        let changes = bounded(platform.client.watch(&key, at(written - 1), WATCH_WAIT)).await;
+
+        assert_eq!(read, Some("1".into()), "{odd:?}");
+        let events = changes.unwrap_or_else(|error| panic!("{odd:?}: {error}")).events;
+        assert_eq!(events.iter().map(|event| &*event.key).collect::<Vec<_>>(), [key], "{odd:?}");
+    }
+}
+
 #[tokio::test]
 async fn transactions_are_atomic() {
     let platform = platform(settings()).await;
--- a/tests/gateway/changes.rs
+++ b/tests/gateway/changes.rs
@@ -5,6 +5,7 @@
 
 use serde_json::{Value, json};
 
+use jacinthfall_standin::platform::control::{Change, Put};
 use jacinthfall_testkit::gateway::leaf::Leaf;
 use jacinthfall_testkit::gateway::site::{Request, Site, route, serving_leaf, wait_for};
 
@@ -109,13 +110,38 @@
     assert!(b.runs().is_empty());
 }
 
+/// Entries of another writer, with a name that has characters which are reserved in a URL. They fill
+/// more than a page of a listing, so that some page ends with one of them.
+fn write_odd_entries(site: &Site) {
+    let key = |number| format!("servers/a& +#%{number:04}").into();
+    let value = Some("{\"service\":7}".to_owned());
+    let put = (0..600).map(|number| Put { key: key(number), value: value.clone() });
+    site.change(&Change { put: put.collect(), ..Change::default() });
+}
+
+/// Regression test: nodes that started while such an entry stood at the end of a page never read
+/// the list of leafs to its end, and refused all requests.
+#[test]
+fn odd_names_of_entries_do_not_stop_nodes_that_start() {
+    let leaf = serving_leaf("i-1", b"of a");
+    let mut site = serving(&[route("safe")], &[("i-1", "a", &leaf)]);
+    write_odd_entries(&site);
+    site.nodes.clear();
+
+    site.start();
+    site.start();
+
+    for node in 0..2 {
+        site.wait_ready(node);
+        let response = site.ask(node, &Request::default());
+        assert_eq!((response.status, &response.body[..]), (200, &b"of a"[..]), "node {node}");
+    }
+}
+
 #[test]
 fn a_watch_behind_the_compacted_history_catches_up() {
     let (_a, _b, mut site) = two_services();
-    let change = jacinthfall_standin::platform::control::Change {
-        compact: true,
-        ..jacinthfall_standin::platform::control::Change::default()
-    };
+    let change = Change { compact: true, ..Change::default() };
     site.change(&change);
 
     site.configure(&[route_to("b")]);
