Refuse a leaf's switch of protocols

A caller of an ordinary request got status 101 with the leaf's receipt when a leaf in trouble sent that, and no body.

Cause: the HTTP client takes 101 for a final response, since it may lead to another protocol. No request of ours asks for one.

Evidence: `a_response_without_a_final_status_never_reaches_a_caller` failed before, with 101 where 502 is due. The other status lines of that test (000, 001, 099, too few or many digits, no number) were refused before and stay so: nothing was changed for them, in answers of one leaf and in parts of merged ones.

Change: such an exchange ends as broken, like any response that can't be decoded: the request may have run, so that only idempotent ones are sent again.

--- a/crates/testkit/src/gateway/leaf.rs
+++ b/crates/testkit/src/gateway/leaf.rs
@@ -44,6 +44,8 @@
     Anonymous,
     /// Answers with a body that has a content encoding.
     Encoded,
+    /// Sends this text as the response, in which `{id}` stands for the id of the request.
+    Raw(String),
     /// Sends bytes of this kind until the connection is closed.
     Endless(Endless),
     /// Never answers.
@@ -401,6 +403,7 @@
             writer.send(&ok.replace(&format!("x-request-id: {id}\r\n"), ""), b"ok")
         }
         Behaviour::Encoded => writer.send(&format!("{ok}content-encoding: gzip\r\n"), b"??"),
+        Behaviour::Raw(text) => writer.stream.write_all(text.replace("{id}", &id).as_bytes()).ok(),
         Behaviour::Endless(kind) => {
             let (first, repeated) = kind.bytes(&ok);
             writer.stream.write_all(first.as_bytes()).ok()?;
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -42,6 +42,9 @@
     /// The request was sent, at least in part.
     #[error("the exchange failed: {0}; check the leaf")]
     Broken(#[from] hyper::Error),
+    /// The response isn't final: nothing asked the leaf to switch protocols.
+    #[error("the leaf switched protocols without being asked to; check the leaf")]
+    Switched,
     /// The body exceeds its limit.
     #[error("the leaf sent a body of more than {MAX_BODY_BYTES} bytes; check the leaf")]
     TooLarge,
@@ -177,6 +180,10 @@
                 None => return Err(error.into_error().into()),
             },
         };
+        // hyper skips the other interim responses.
+        if response.status().is_informational() {
+            return Err(Error::Switched);
+        }
         // The body has limits of its own; this leaves room for its framing.
         self.allowance.set(2 * MAX_BODY_BYTES);
         let (head, mut incoming) = response.into_parts();
--- a/tests/gateway/answers.rs
+++ b/tests/gateway/answers.rs
@@ -118,6 +118,93 @@
     }
 }
 
+/// Status lines that aren't those of a final response.
+const ODD_STATUSES: [&str; 12] = [
+    "HTTP/1.1 000 OK",
+    "HTTP/1.1 000",
+    "HTTP/1.1 001 OK",
+    "HTTP/1.1 099 OK",
+    "HTTP/1.1 00 OK",
+    "HTTP/1.1 0200 OK",
+    "HTTP/1.1 -200 OK",
+    "HTTP/1.1 2 00 OK",
+    "HTTP/1.1 2000 OK",
+    "HTTP/1.1 abc OK",
+    "HTTP/1.1 101 Switching Protocols",
+    "HTTP/1.1  200 OK",
+];
+
+/// A response with a receipt and the body `ok`, to whichever request it answers.
+fn raw_response(status_line: &str, line: &str) -> Behaviour {
+    let line = if line.is_empty() { String::new() } else { format!("{line}\r\n") };
+    let text = format!(
+        "{status_line}\r\nx-request-id: {{id}}\r\nx-response-stamp: s.{{id}}\r\n\
+         content-length: 2\r\n{line}\r\nok"
+    );
+    Behaviour::Raw(text)
+}
+
+fn odd_statuses() -> impl Iterator<Item = Behaviour> {
+    ODD_STATUSES.iter().map(|status_line| raw_response(status_line, ""))
+}
+
+#[test]
+fn a_raw_response_with_a_proper_head_reaches_the_caller() {
+    let leaf = Leaf::spawn("i-1", raw_response("HTTP/1.1 200 OK", "x-even: 1"));
+    let site = serving(&[route("unsafe")], &[("i-1", "a", &leaf)]);
+
+    let response = site.ask(0, &Request::default());
+
+    assert_eq!((response.status, &response.body[..]), (200, &b"ok"[..]));
+    assert_eq!(response.header("x-response-stamp"), Some("s.r-1"));
+}
+
+/// Checks that nothing of such responses passes for an answer. The request may have run, so it must
+/// not be sent again.
+fn never_reach_a_caller(behaviours: impl Iterator<Item = Behaviour>) {
+    let leaf = Leaf::spawn("i-1", Behaviour::Drop);
+    let site = serving(&[route("unsafe")], &[("i-1", "a", &leaf)]);
+    for (number, behaviour) in behaviours.enumerate() {
+        leaf.set_behaviour(behaviour.clone());
+
+        let id = format!("r-{number}");
+        let response = site.ask(0, &Request { id: &id, ..Request::default() });
+
+        assert_eq!(response.status, 502, "{behaviour:?}: {response:?}");
+        assert_eq!(response.header("x-response-stamp"), None, "{behaviour:?}");
+        assert!(!response.headers.iter().any(|(name, _)| name.contains("odd")), "{behaviour:?}");
+        assert_eq!(leaf.runs().len(), number + 1, "{behaviour:?}");
+    }
+}
+
+/// Checks that such responses count as missing parts.
+fn are_no_parts(behaviours: impl Iterator<Item = Behaviour>) {
+    let leafs = [serving_leaf("i-0", b""), serving_leaf("i-1", b""), serving_leaf("i-2", b"")];
+    let entries = [("i-0", "s-0", &leafs[0]), ("i-1", "s-1", &leafs[1]), ("i-2", "s-2", &leafs[2])];
+    let site = serving(&[gather(0.6)], &entries);
+    for (number, behaviour) in behaviours.enumerate() {
+        leafs[2].set_behaviour(behaviour.clone());
+
+        let id = format!("r-{number}");
+        let response = site.ask(0, &Request { target: "/g/1", id: &id, ..Request::default() });
+
+        let missing = response.header("x-missing-parts");
+        assert_eq!((response.status, missing), (200, Some("1")), "{behaviour:?}");
+        let stamps = response.header("x-part-stamps").expect("response stamps");
+        assert!(!stamps.contains("s.r-"), "{behaviour:?}: {stamps}");
+    }
+}
+
+#[test]
+fn a_response_without_a_final_status_never_reaches_a_caller() {
+    never_reach_a_caller(odd_statuses());
+}
+
+#[test]
+fn a_response_without_a_final_status_is_no_part() {
+    are_no_parts(odd_statuses());
+}
+
 #[test]
 fn a_response_delimited_by_connection_close_is_complete() {
     let leaf = Leaf::spawn("i-1", Behaviour::Unframed(b"all of it".to_vec()));
