Refuse responses of leafs with a lone line feed in the head

A leaf in trouble sent a field whose name began with a line feed. Callers got the first bytes of the rest of the head as its body, under the leaf's receipt; in a merged answer they counted as records.

Cause: the HTTP parser takes a lone line feed for the end of a line, as RFC 9112 allows, and an empty line ends the head. After that nothing shows where the head was to end. A recipient may as well refuse such a head, which is the only safe choice for one that passes the body on.

Evidence: `a_response_with_a_malformed_field_never_reaches_a_caller` got 200 with the body `od` where 502 is due, and `.._is_no_part` counted it as a part; both failed before. The other lines of these tests (names with a blank, a tab, a NUL or another control byte, a folded line, no name, no colon, a carriage return within a line) were refused before; nothing was changed for them.

Change: line ends are checked as the bytes of a head arrive, those of interim responses too. The stream that does so and the limits on bytes, which stood in `connection`, have a file of their own.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod acceptor;
 pub mod client;
 pub mod clock;
+pub mod head;
 pub mod progress;
 pub mod server;
 pub mod stream;
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -2,13 +2,10 @@
 //!
 //! A faulty leaf may send a head, interim responses or a body without end. The head has a limit of
 //! its own, since hyper skips any number of interim responses, and all bodies that are being
-//! received share one, since each of them alone may be large.
+//! received share one, since each of them alone may be large. `stream` applies those on the bytes.
 
-use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::task::{Context, Poll};
 
 use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
@@ -18,9 +15,12 @@
 use hyper_util::rt::TokioIo;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::attribution::{Carried, Id};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+mod stream;
+
+use stream::{Allowance, Stream};
+
 /// Maximum size of the read buffer of a connection, in bytes.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -53,24 +53,6 @@
     OutOfMemory,
 }
 
-/// Number of bytes that a connection may still receive.
-#[derive(Debug, Default)]
-struct Allowance(AtomicUsize);
-
-impl Allowance {
-    fn set(&self, bytes: usize) {
-        self.0.store(bytes, Ordering::Relaxed);
-    }
-
-    fn left(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
-    }
-
-    fn consume(&self, bytes: usize) {
-        self.0.store(self.left().saturating_sub(bytes), Ordering::Relaxed);
-    }
-}
-
 /// Bytes of the response bodies that are being received, over all connections.
 #[derive(Debug, Default)]
 pub struct Received(AtomicUsize);
@@ -120,8 +102,8 @@
         closed: impl Send + 'static,
     ) -> Result<Sender, hyper::Error> {
         let allowance = Arc::new(Allowance::default());
-        allowance.set(MAX_HEAD_BYTES);
-        let stream = Stream { stream, allowance: Arc::clone(&allowance) };
+        allowance.expect_head(MAX_HEAD_BYTES);
+        let stream = Stream::open(stream, Arc::clone(&allowance));
         let builder = http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).to_owned();
         let (mut requests, connection) = builder.handshake(TokioIo::new(stream)).await?;
         tokio::spawn(async move {
@@ -172,7 +154,7 @@
         request: Request<Full<Bytes>>,
         received: &Received,
     ) -> Result<Response<Bytes>, Error> {
-        self.allowance.set(MAX_HEAD_BYTES);
+        self.allowance.expect_head(MAX_HEAD_BYTES);
         let response: Response<Incoming> = match self.requests.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => match error.take_message() {
@@ -185,7 +167,7 @@
             return Err(Error::Switched);
         }
         // The body has limits of its own; this leaves room for its framing.
-        self.allowance.set(2 * MAX_BODY_BYTES);
+        self.allowance.expect(2 * MAX_BODY_BYTES);
         let (head, mut incoming) = response.into_parts();
         let mut body = Body { total: received, bytes: BytesMut::new() };
         while let Some(frame) = incoming.frame().await {
@@ -198,56 +180,3 @@
         Ok(Response::from_parts(head, bytes))
     }
 }
-
-/// Stream that fails once it has received more than is allowed.
-struct Stream {
-    stream: TcpStream,
-    allowance: Arc<Allowance>,
-}
-
-impl AsyncRead for Stream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        if self.allowance.left() == 0 {
-            let error = "the leaf sends more than a response may hold";
-            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
-        }
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        self.allowance.consume(buffer.filled().len() - before);
-        polled
-    }
-}
-
-impl AsyncWrite for Stream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
--- a/tests/gateway/answers.rs
+++ b/tests/gateway/answers.rs
@@ -134,6 +134,30 @@
     "HTTP/1.1  200 OK",
 ];
 
+/// Header lines that have no valid name or value.
+const ODD_LINES: [&str; 20] = [
+    "x odd: 1",
+    "x-odd : 1",
+    " x-odd: 1",
+    "\tx-odd: 1",
+    "x\todd: 1",
+    "x\0odd: 1",
+    "x\u{1}odd: 1",
+    "x\u{1f}odd: 1",
+    "x\u{7f}odd: 1",
+    "x\u{e4}odd: 1",
+    "x\rodd: 1",
+    "x\nodd: 1",
+    "\nodd: 1",
+    "\rodd: 1",
+    "x-odd: \u{1}",
+    "x-odd: a\rb",
+    ": 1",
+    "x-odd",
+    "content length: 1",
+    "content-length : 1",
+];
+
 /// A response with a receipt and the body `ok`, to whichever request it answers.
 fn raw_response(status_line: &str, line: &str) -> Behaviour {
     let line = if line.is_empty() { String::new() } else { format!("{line}\r\n") };
@@ -148,6 +172,10 @@
     ODD_STATUSES.iter().map(|status_line| raw_response(status_line, ""))
 }
 
+fn odd_lines() -> impl Iterator<Item = Behaviour> {
+    ODD_LINES.iter().map(|line| raw_response("HTTP/1.1 200 OK", line))
+}
+
 #[test]
 fn a_raw_response_with_a_proper_head_reaches_the_caller() {
     let leaf = Leaf::spawn("i-1", raw_response("HTTP/1.1 200 OK", "x-even: 1"));
@@ -205,6 +233,16 @@
     are_no_parts(odd_statuses());
 }
 
+#[test]
+fn a_response_with_a_malformed_field_never_reaches_a_caller() {
+    never_reach_a_caller(odd_lines());
+}
+
+#[test]
+fn a_response_with_a_malformed_field_is_no_part() {
+    are_no_parts(odd_lines());
+}
+
 #[test]
 fn a_response_delimited_by_connection_close_is_complete() {
     let leaf = Leaf::spawn("i-1", Behaviour::Unframed(b"all of it".to_vec()));
