--- a/tests/gateway/changes.rs
+++ b/tests/gateway/changes.rs
@@ -100,14 +100,18 @@
     let site = serving(&[route("safe")], &[("i-1", "a", &a)]);
     site.put("servers/i-3", Some("{\"service\":7}".into()));
     site.put("servers/i-4", Some("\u{1}\u{2}".into()));
+    site.register("i-5", "a", &b, 1, "sleeping");
     let entry = json!({"service": "a", "address": b.address, "zone": "z", "slots": 3,
-        "state": "sleeping", "sequence": 1});
-    site.put("servers/i-5", Some(entry.to_string()));
+        "state": "ready", "sequence": 1});
+    site.put("servers/i-6", Some(entry.to_string()));
+    let last = serving_leaf("i-7", b"of b");
+    site.register("i-7", "b", &last, 1, "ready");
+    wait_for("the changes to reach the node", || last.connections() > 0);
 
     for number in 0..20 {
         assert_eq!(body(&site, &format!("r-{number}")), b"of a");
     }
-    assert!(b.runs().is_empty());
+    assert_eq!((b.connections(), b.runs().len()), (0, 0));
 }
 
 /// Entries of another writer, with a name that has characters which are reserved in a URL. They fill
