Ignore registrations whose id no header can hold

Requests were offered to an entry whose id is empty or holds a blank, a control character or anything outside of ASCII. Each send to it failed before anything was written and cost the connection that was opened for it.

Cause: a request names the leaf that it is for in a header. Such an id can't be put there, or the leaf would see another one, so that the entry names no leaf to use.

Evidence: `a_leaf_whose_id_no_header_can_hold_is_not_used` failed before: the node opened two connections to such a leaf within 20 requests; now none. All requests were served by the other leaf before as well.

Change: the key of a registration is decoded in the adapter, like those of evacuations, and names a leaf only if its id is visible ASCII.

--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -294,9 +294,9 @@
     hub.heartbeat_due.notify_one();
 }
 
-/// Returns the id and record of a leaf; `None` if the key isn't that of a leaf.
+/// Returns the id and record of a leaf; `None` if the key names no leaf.
 fn decode_leaf(item: &Item) -> Option<(id::Name, Record)> {
-    let id = item.key.strip_prefix(registry::PREFIX)?;
+    let id = registry::decode_key(&item.key)?;
     let entry = item.value.as_ref().and_then(|value| registry::decode(value));
     Some((id.into(), Record::of(item.at, entry)))
 }
--- a/tests/gateway/changes.rs
+++ b/tests/gateway/changes.rs
@@ -114,6 +114,18 @@
     assert_eq!((b.connections(), b.runs().len()), (0, 0));
 }
 
+/// Regression test: requests were chosen for such a leaf and then couldn't be sent to it.
+#[test]
+fn a_leaf_whose_id_no_header_can_hold_is_not_used() {
+    let (good, odd) = (serving_leaf("i-1", b"of a"), serving_leaf("i-\u{e4}", b"of a"));
+    let site = serving(&[route("safe")], &[("i-1", "a", &good), ("i-\u{e4}", "a", &odd)]);
+
+    for number in 0..20 {
+        assert_eq!(body(&site, &format!("r-{number}")), b"of a");
+    }
+    assert_eq!(odd.connections(), 0);
+}
+
 /// Entries of another writer, with a name that has characters which are reserved in a URL. They fill
 /// more than a page of a listing, so that some page ends with one of them.
 fn write_odd_entries(site: &Site) {
