Use entries of the product's own store only under their own key

A document of a profile or a node that stood under another key was taken for that profile or node: a copy of a profile with a higher revision came in force everywhere, and a copy of a node's entry marked as leaving stopped the node.

Cause: the daemon without `--gateway` went by the name inside of the value alone.

Evidence: `a_record_under_the_key_of_another_is_not_put_in_force` got revision 10 where 2 is due, and in `an_entry_under_the_key_of_another_node_stops_no_node` the node had stopped; both failed before.

Change: such an entry is counted, logged and ignored like an unreadable one. Gateway nodes had no such fault towards callers, since they name only nodes that send them heartbeats; `a_registration_under_the_key_of_another_node_gives_callers_no_address` passed before and stays.

--- a/crates/testkit/src/site.rs
+++ b/crates/testkit/src/site.rs
@@ -155,10 +155,19 @@
     ///
     /// If no node of this name runs.
     pub fn mark_leaving(&self, name: &str) {
+        self.mark_leaving_at(&format!("jacinthfall/vms/{name}"), name);
+    }
+
+    /// Writes a store entry that marks a node as leaving, under any key.
+    ///
+    /// # Panics
+    ///
+    /// If no node of this name runs.
+    pub fn mark_leaving_at(&self, key: &str, name: &str) {
         let node = self.nodes.iter().find(|node| node.name == name).expect("a node of this name");
         let mut entry = entry(node);
         entry["leaving"] = true.into();
-        let put = json!({"key": format!("jacinthfall/vms/{name}"), "value": entry.to_string()});
+        let put = json!({"key": key, "value": entry.to_string()});
         let _ = call::control(self.platform_address, &json!({"put": [put]}));
     }
 
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -55,20 +55,23 @@
 }
 
 fn parse_record(item: &Item) -> Option<Record> {
-    let json = item.value.as_ref()?;
-    match serde_json::from_slice::<Document>(json) {
-        Ok(document) => Some(document.record),
-        Err(error) => {
-            counter!("jacinthfall_store_malformed_total").increment(1);
-            log::warn!(
-                "ignoring the unreadable record {} in the store: {error}; put it again",
-                item.key
-            );
-            None
+    match serde_json::from_slice::<Document>(item.value.as_ref()?) {
+        Ok(document) if document.record.key == item.key => Some(document.record),
+        Ok(document) => {
+            let reason = format!("it is of {:?}", document.record.key);
+            ignore(item, &reason)
         }
+        Err(error) => ignore(item, &error.to_string()),
     }
 }
 
+/// Counts and logs an entry of the store that isn't used.
+fn ignore<T>(item: &Item, reason: &str) -> Option<T> {
+    counter!("jacinthfall_store_malformed_total").increment(1);
+    log::warn!("ignoring the entry {:?} in the store: {reason}; correct or remove it", item.key);
+    None
+}
+
 /// Reads a key for the claim engine.
 pub fn read(context: &Arc<Context>, call: u64, key: id::Name) {
     let context = Arc::clone(context);
@@ -208,12 +211,9 @@
 
 fn parse_vm(item: &Item) -> Option<member::Vm> {
     let vm = match serde_json::from_slice::<Vm>(item.value.as_ref()?) {
-        Ok(vm) => vm,
-        Err(error) => {
-            counter!("jacinthfall_store_malformed_total").increment(1);
-            log::warn!("ignoring the unreadable node entry {} in the store: {error}", item.key);
-            return None;
-        }
+        Ok(vm) if item.key.strip_prefix(NODE_PREFIX) == Some(&*vm.node) => vm,
+        Ok(vm) => return ignore(item, &format!("it is of node {:?}", vm.node)),
+        Err(error) => return ignore(item, &error.to_string()),
     };
     Some(member::Vm {
         node: vm.node,
--- a/tests/gateway/nodes.rs
+++ b/tests/gateway/nodes.rs
@@ -1,11 +1,13 @@
 //! Sites of several nodes: starts, planned stops, crashes and outages of the store.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use jacinthfall_standin::platform::control::Change;
 use jacinthfall_testkit::call;
+use serde_json::json;
 
 use jacinthfall_testkit::gateway::leaf::{Behaviour, Leaf};
 use jacinthfall_testkit::gateway::site::{
@@ -53,6 +55,26 @@
     });
 }
 
+#[test]
+fn a_registration_under_the_key_of_another_node_gives_callers_no_address() {
+    let leaf = serving_leaf("i-1", b"ok");
+    let mut site = serving(&[route("safe")], &[("i-1", "a", &leaf)]);
+    let foreign: SocketAddr = "127.0.0.1:1".parse().expect("an address");
+    let node = json!({"name": "node-0", "started": 1, "zone": "z", "callers": foreign,
+        "peers": foreign, "capacity": 1_000});
+    site.put("jacinthfall/nodes/another", Some(node.to_string()));
+    site.put("jacinthfall/nodes/&+#% ", Some("{\"name\":7}".to_owned()));
+
+    site.start();
+
+    wait_for("both nodes", || (0..2).all(|node| addresses(&site, node).len() >= 2));
+    let callers: HashSet<SocketAddr> = site.nodes.iter().map(|node| node.callers).collect();
+    for node in 0..2 {
+        let listed: HashSet<SocketAddr> = addresses(&site, node).into_iter().collect();
+        assert_eq!(listed, callers, "node {node}");
+    }
+}
+
 #[test]
 fn a_planned_stop_answers_requests_in_flight_and_exits_with_zero() {
     let leaf = Leaf::spawn("i-1", Behaviour::Silent);
--- a/tests/testsuite/change.rs
+++ b/tests/testsuite/change.rs
@@ -1,5 +1,7 @@
 //! Accepted changes of profiles take effect on every node and are never reverted.
 
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
 use jacinthfall_testkit::call::{self, Response};
 use jacinthfall_testkit::site::{Node, OPERATOR_TOKEN, Site};
 use serde_json::{Value, json};
@@ -162,6 +164,29 @@
     assert_eq!(stored.body["value"], "eyJub3QiOiAiYSBwcm9maWxlIn0=");
 }
 
+/// Returns the document of a stored record.
+fn stored_document(site: &Site, key: &str) -> Value {
+    let path = format!("/api/kv-key?key={key}");
+    let stored = call::send("GET", site.platform_address, &path, None, None).expect("a response");
+    let value = BASE64.decode(stored.body["value"].as_str().expect("a value"));
+    serde_json::from_slice(&value.expect("base64")).expect("a document")
+}
+
+#[test]
+fn a_record_under_the_key_of_another_is_not_put_in_force() {
+    let site = support::site(&["bot-engine"]);
+    let mut foreign = stored_document(&site, &format!("config/profile/{PROFILE}"));
+    foreign["record"]["revision"] = 9.into();
+    let odd = json!({"key": "config/&+#% ", "value": foreign.to_string()});
+    let _ = call::control(site.platform_address, &json!({"put": [odd]}));
+
+    let accepted = put(&site.nodes[0], &change("c-1", 5_000, None));
+
+    assert_eq!(accepted.body["revision"], 2, "{accepted:?}");
+    wait_in_force(&site, 2);
+    assert!(site.nodes.iter().all(|node| revision(&site, node) == 2));
+}
+
 #[test]
 fn a_change_on_a_restored_store_is_in_force_everywhere() {
     let site = support::site(&["bot-engine"]);
--- a/tests/testsuite/stop.rs
+++ b/tests/testsuite/stop.rs
@@ -3,12 +3,16 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
+use std::time::Duration;
 
 use jacinthfall_testkit::call;
 use serde_json::json;
 
 use crate::support;
 
+/// Interval at which nodes read the entries of nodes in the store.
+const VM_POLL_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Profile that the queries name.
 const PROFILE: &str = "patient-bot-engine";
 
@@ -60,6 +64,20 @@
     assert!(status.success(), "a planned stop exits with 0, not {status}");
 }
 
+#[test]
+fn an_entry_under_the_key_of_another_node_stops_no_node() {
+    let mut site = support::site(&["bot-engine"]);
+
+    site.mark_leaving_at("jacinthfall/vms/another", "node-2");
+    site.mark_leaving("node-1");
+    let status = site.nodes[1].process.wait();
+
+    assert!(status.success(), "a planned stop exits with 0, not {status}");
+    // By now every node has read the entries.
+    thread::sleep(2 * VM_POLL_INTERVAL);
+    assert_eq!(call::get(site.nodes[2].callers, "/readyz").status, 200);
+}
+
 #[test]
 fn fate_survives_the_planned_stop_and_the_loss_of_its_node() {
     let mut site = support::site(&["bot-engine"]);
