Add up numbers of leafs without overflow

A leaf whose load header or entry held a number near the top of 32 bits lost its response in a build with overflow checks: the caller's connection was closed without an answer. In the release build the sum wrapped, so that such a leaf passed for idle.

Cause: the numbers of running and waiting requests, and twice the number of slots, were added up in 32 bits as they came.

Evidence: `a_response_with_the_largest_numbers_reaches_the_caller` failed before at both places, one after the other ("attempt to add with overflow", "attempt to multiply with overflow"). Warm-up times, idle times and start times of any size were handled.

Change: both saturate.

--- a/crates/dispatch/src/fleet/leaf.rs
+++ b/crates/dispatch/src/fleet/leaf.rs
@@ -291,7 +291,7 @@
             }
             Ending::Broken | Ending::Unattributed => self.observe(now, None, true),
             Ending::Rejected => {
-                let requests = 2 * self.entry.slots;
+                let requests = self.entry.slots.saturating_mul(2);
                 self.report = Some(Report { requests, at: now });
                 self.observe(now, None, true);
                 self.last_answer = now;
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -28,7 +28,7 @@
 fn record_load(hub: &Hub, leaf: Key, headers: &HeaderMap) {
     let load = headers.get(header::LOAD).and_then(|load| load.to_str().ok());
     if let Some(load) = load.and_then(header::decode_load) {
-        let report = Report { requests: load.running + load.waiting, at: hub.now() };
+        let report = Report { requests: load.running.saturating_add(load.waiting), at: hub.now() };
         hub.tables().fleet.record_report(leaf, report);
     }
 }
--- a/tests/gateway/answers.rs
+++ b/tests/gateway/answers.rs
@@ -1,9 +1,12 @@
 //! A caller gets the complete answer to its own request, and never any other response.
 
 use jacinthfall_testkit::gateway::leaf::{Behaviour, Leaf};
-use jacinthfall_testkit::gateway::site::{Request, exchange, gather, route, serving_leaf};
+use jacinthfall_testkit::gateway::site::{
+    Request, Site, exchange, gather, route, serving_leaf, wait_for,
+};
+use serde_json::json;
 
-use crate::support::serving;
+use crate::support::{program, serving};
 
 fn record(byte: u8) -> Vec<u8> {
     vec![byte; 16]
@@ -243,6 +246,33 @@
     are_no_parts(odd_lines());
 }
 
+/// What a leaf says of its load is no reason to lose its response.
+#[test]
+fn a_response_with_the_largest_numbers_reaches_the_caller() {
+    let max = u32::MAX;
+    let leaf = serving_leaf("i-1", b"ok");
+    leaf.set_headers(&format!(
+        "x-server-load: {max},{max},{max},{max}\r\nkeep-alive: timeout={}\r\n\
+         x-warmup-ms: {}\r\n",
+        u64::MAX,
+        u64::MAX
+    ));
+    let site = Site::serving(program(), &[route("unsafe")], &[]);
+    let fields = json!({"slots": max, "warmup-left-ms": u64::MAX, "born": u64::MAX});
+    site.register_with("i-1", "a", &leaf, &fields);
+    wait_for("the leaf to be known", || leaf.connections() > 0);
+
+    for number in 0..5 {
+        let id = format!("r-{number}");
+        let response = site.ask(0, &Request { id: &id, ..Request::default() });
+
+        assert_eq!((response.status, &response.body[..]), (200, &b"ok"[..]), "{response:?}");
+    }
+    leaf.set_behaviour(Behaviour::Reject);
+    let response = site.ask(0, &Request { id: "r-last", ..Request::default() });
+    assert_eq!(response.status, 503, "{response:?}");
+}
+
 #[test]
 fn a_response_delimited_by_connection_close_is_complete() {
     let leaf = Leaf::spawn("i-1", Behaviour::Unframed(b"all of it".to_vec()));
