Log entries of the store that name no leaf

An operator could not see why a registration wasn't used, nor that an entry of another writer stood there: it was dropped without a line or a count.

Each such entry that is read is counted and logged with its key, within the limit on lines about leafs. What the entries of the store are is decided beside what follows from them, in `registrations`.

--- a/src/gateway/audit/leafs.rs
+++ b/src/gateway/audit/leafs.rs
@@ -188,6 +188,15 @@
         }
     }
 
+    /// Logs that an entry among the registrations of leafs names no leaf to use.
+    pub fn log_ignored_registration(&self, now: Time, key: &str, at: Position) {
+        let Some(passed_over) = lock(&self.0).states.admit(now) else { return };
+        log::warn!(
+            "event=registration_ignored key={key:?} at={at} passed_over={passed_over} \
+             reason=\"its id or a field is missing or malformed; correct or remove it\""
+        );
+    }
+
     /// Logs which leafs and services this node reaches, and what the other nodes say of theirs.
     pub fn log_reach(&self, now: Time, tables: &Shared) {
         let tables = tables.lock();
--- a/src/gateway/registrations.rs
+++ b/src/gateway/registrations.rs
@@ -1,16 +1,36 @@
-//! What follows from changed registrations of leafs: the leafs in use, and the connections to them.
+//! Registrations of leafs: which entries of the store are some, and what follows from changes of
+//! them for the leafs in use and the connections to them.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use jacinthfall_adapter::registry;
+use jacinthfall_adapter::store::Item;
 use jacinthfall_core::id;
+use jacinthfall_dispatch::catalog::Record;
 use jacinthfall_dispatch::fleet::Key;
+use metrics::counter;
 
 use super::hub::{Hub, MIN_ASSUMED_NODES};
 use super::pool::{self, DEFAULT_IDLE_TIMEOUT};
 use super::tables::Tables;
 
+/// Returns the id and record of a leaf; `None` if the key names no leaf. A record without an entry
+/// says that the leaf isn't to be used. Other writers may leave anything among the registrations.
+pub fn decode(hub: &Hub, item: &Item) -> Option<(id::Name, Record)> {
+    if !item.key.starts_with(registry::PREFIX) {
+        return None;
+    }
+    let id = registry::decode_key(&item.key);
+    let entry = item.value.as_ref().and_then(|value| registry::decode(value));
+    if item.value.is_some() && (id.is_none() || entry.is_none()) {
+        counter!("jacinthfall_registrations_ignored_total").increment(1);
+        hub.audit.log_ignored_registration(hub.now(), &item.key, item.at);
+    }
+    Some((id?.into(), Record::of(item.at, entry)))
+}
+
 impl Hub {
     /// Updates the fleet and the connections after registrations of leafs have changed. `source`
     /// is logged.
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -6,16 +6,15 @@
 use std::time::Duration;
 
 use jacinthfall_adapter::store::{Changes, Client, Error, Item};
-use jacinthfall_adapter::{configuration, evacuation as evacuation_keys, registry};
+use jacinthfall_adapter::{configuration, evacuation as evacuation_keys};
 use jacinthfall_core::history::Position;
-use jacinthfall_core::id;
 use jacinthfall_core::time::Time;
-use jacinthfall_dispatch::catalog::Record;
 use jacinthfall_dispatch::roster::Node;
 use metrics::{counter, histogram};
 
 use super::evacuation;
 use super::hub::Hub;
+use super::registrations;
 use super::tables::MAX_PEER_WAIT;
 use crate::registration::{self, Backoff, Entry};
 
@@ -232,7 +231,7 @@
         if let Some(name) = item.key.strip_prefix(NODE_PREFIX) {
             nodes.insert(name.into());
             apply_node(hub, item);
-        } else if let Some(leaf) = decode_leaf(item) {
+        } else if let Some(leaf) = registrations::decode(hub, item) {
             leafs.push(leaf);
         } else {
             apply_configuration(hub, item);
@@ -274,7 +273,7 @@
             apply_configuration(hub, item);
         } else if evacuation::apply_item(hub, item) {
             // Nothing else depends on it.
-        } else if let Some((id, record)) = decode_leaf(item) {
+        } else if let Some((id, record)) = registrations::decode(hub, item) {
             if hub.tables().catalog.apply(now, &id, record) {
                 changed.push(id);
             }
@@ -294,13 +293,6 @@
     hub.heartbeat_due.notify_one();
 }
 
-/// Returns the id and record of a leaf; `None` if the key names no leaf.
-fn decode_leaf(item: &Item) -> Option<(id::Name, Record)> {
-    let id = registry::decode_key(&item.key)?;
-    let entry = item.value.as_ref().and_then(|value| registry::decode(value));
-    Some((id.into(), Record::of(item.at, entry)))
-}
-
 fn apply_configuration(hub: &Arc<Hub>, item: &Item) {
     if &*item.key == configuration::KEY
         && let Some(text) = &item.value
--- a/tests/gateway/changes.rs
+++ b/tests/gateway/changes.rs
@@ -7,8 +7,9 @@
 
 use jacinthfall_standin::platform::control::{Change, Put};
 use jacinthfall_testkit::gateway::leaf::Leaf;
-use jacinthfall_testkit::gateway::site::{Request, Site, route, serving_leaf, wait_for};
+use jacinthfall_testkit::gateway::site::{Request, Site, metric, route, serving_leaf, wait_for};
 
+use crate::explain::stop_and_read_log_of;
 use crate::support::serving;
 
 fn body(site: &Site, id: &str) -> Vec<u8> {
@@ -97,7 +98,7 @@
 #[test]
 fn unreadable_leaf_entries_do_not_affect_other_leafs() {
     let (a, b) = (serving_leaf("i-1", b"of a"), serving_leaf("i-2", b"of b"));
-    let site = serving(&[route("safe")], &[("i-1", "a", &a)]);
+    let mut site = serving(&[route("safe")], &[("i-1", "a", &a)]);
     site.put("servers/i-3", Some("{\"service\":7}".into()));
     site.put("servers/i-4", Some("\u{1}\u{2}".into()));
     site.register("i-5", "a", &b, 1, "sleeping");
@@ -112,6 +113,13 @@
         assert_eq!(body(&site, &format!("r-{number}")), b"of a");
     }
     assert_eq!((b.connections(), b.runs().len()), (0, 0));
+    let ignored = metric(&site.nodes[0], "jacinthfall_registrations_ignored_total");
+    assert_eq!(ignored, Some(4.0));
+    let log = stop_and_read_log_of(&mut site, 0);
+    for id in ["i-3", "i-4", "i-5", "i-6"] {
+        let line = format!("event=registration_ignored key=\"servers/{id}\"");
+        assert!(log.contains(&line), "{line}: {log}");
+    }
 }
 
 /// Regression test: requests were chosen for such a leaf and then couldn't be sent to it.
