Share the poll interval and the read of a stored value between tests

The interval at which nodes of a test site read the entries of nodes stood in the site and in a test, and two tests read a value from the store with the same lines. Assertions are unchanged.

--- a/crates/testkit/src/site.rs
+++ b/crates/testkit/src/site.rs
@@ -24,6 +24,9 @@
 /// Token that nodes of every test site present to each other.
 const PEER_TOKEN: &str = "nodes-of-this-test-site";
 
+/// Interval at which nodes of every test site read the entries of nodes in the store.
+pub const VM_POLL_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Longest wait for a condition, such as that a site is ready.
 const TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -133,7 +136,7 @@
             "callers": {"listen": "127.0.0.1:0", "hold_ms": self.plan.hold.as_millis()},
             "operators": {"listen": "127.0.0.1:0", "token": OPERATOR_TOKEN},
             "peers": {"listen": "127.0.0.1:0", "token": PEER_TOKEN, "seeds": seeds},
-            "platform": {"address": self.platform_address, "vm_poll_ms": 500},
+            "platform": {"address": self.platform_address, "vm_poll_ms": VM_POLL_INTERVAL.as_millis()},
         });
         fs::write(&file, settings.to_string()).expect("settings can be written");
         let program = self.plan.programs.join("jacinthfalld");
--- a/tests/testsuite/change.rs
+++ b/tests/testsuite/change.rs
@@ -51,6 +51,13 @@
     });
 }
 
+/// Returns the value of a key in the store, in base64.
+fn stored_value(site: &Site, key: &str) -> String {
+    let path = format!("/api/kv-key?key={key}");
+    let stored = call::send("GET", site.platform_address, &path, None, None).expect("a response");
+    stored.body["value"].as_str().expect("a value").to_owned()
+}
+
 #[test]
 fn of_two_concurrent_changes_one_is_accepted_and_the_other_refused() {
     let site = support::site(&["bot-engine"]);
@@ -159,23 +166,15 @@
     assert_eq!(response.status, 409, "{response:?}");
     assert_eq!(response.body["result"], "unreadable");
     assert!(response.body.to_string().contains(&key), "{response:?}");
-    let path = format!("/api/kv-key?key={key}");
-    let stored = call::send("GET", site.platform_address, &path, None, None).expect("a response");
-    assert_eq!(stored.body["value"], "eyJub3QiOiAiYSBwcm9maWxlIn0=");
-}
-
-/// Returns the document of a stored record.
-fn stored_document(site: &Site, key: &str) -> Value {
-    let path = format!("/api/kv-key?key={key}");
-    let stored = call::send("GET", site.platform_address, &path, None, None).expect("a response");
-    let value = BASE64.decode(stored.body["value"].as_str().expect("a value"));
-    serde_json::from_slice(&value.expect("base64")).expect("a document")
+    assert_eq!(stored_value(&site, &key), "eyJub3QiOiAiYSBwcm9maWxlIn0=");
 }
 
 #[test]
 fn a_record_under_the_key_of_another_is_not_put_in_force() {
     let site = support::site(&["bot-engine"]);
-    let mut foreign = stored_document(&site, &format!("config/profile/{PROFILE}"));
+    let stored = stored_value(&site, &format!("config/profile/{PROFILE}"));
+    let stored = BASE64.decode(stored).expect("base64");
+    let mut foreign: Value = serde_json::from_slice(&stored).expect("a document");
     foreign["record"]["revision"] = 9.into();
     let odd = json!({"key": "config/&+#% ", "value": foreign.to_string()});
     let _ = call::control(site.platform_address, &json!({"put": [odd]}));
--- a/tests/testsuite/stop.rs
+++ b/tests/testsuite/stop.rs
@@ -3,16 +3,13 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::Duration;
 
 use jacinthfall_testkit::call;
+use jacinthfall_testkit::site::VM_POLL_INTERVAL;
 use serde_json::json;
 
 use crate::support;
 
-/// Interval at which nodes read the entries of nodes in the store.
-const VM_POLL_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Profile that the queries name.
 const PROFILE: &str = "patient-bot-engine";
 
