Show what requests hold in gauges

Whether a node's state leaks couldn't be told from its metrics: the number of requests in hand went back to zero while sends to leafs stayed counted. Gauges now show what requests hold until they end: sends, queue entries, requests at and for other nodes, waits for quotas, received bytes, connections.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -171,6 +171,19 @@
         self.leafs.get(&key)
     }
 
+    /// Returns the number of requests from this node that are in flight to leafs, including those
+    /// that may no longer be used.
+    #[must_use]
+    pub fn sends_in_flight(&self) -> usize {
+        self.leafs.values().map(Leaf::in_flight).sum()
+    }
+
+    /// Returns the number of entries in the queues of all services.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.queues.values().map(Queue::len).sum()
+    }
+
     /// Assesses a leaf for a request that usually takes `usual`.
     #[must_use]
     pub fn assess(&self, now: Time, key: Key, usual: Duration) -> Assessment {
--- a/crates/dispatch/src/fleet/queue.rs
+++ b/crates/dispatch/src/fleet/queue.rs
@@ -53,6 +53,10 @@
         }
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Returns the number of requests that get a leaf before one with a turn, which may be in the
     /// queue itself.
     pub(super) fn ahead(&mut self, now: Time, order: Order, turn: Turn, queued: bool) -> usize {
--- a/crates/dispatch/src/relay.rs
+++ b/crates/dispatch/src/relay.rs
@@ -123,6 +123,12 @@
         Some(best.node.clone())
     }
 
+    /// Returns the number of requests that other nodes serve on behalf of this one.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.relays.iter().map(|relay| relay.in_flight).sum()
+    }
+
     /// Records that a request was sent to a node.
     pub fn record_send(&mut self, node: &Node) {
         match self.relays.iter_mut().find(|relay| relay.name == node.name) {
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -57,6 +57,14 @@
 #[derive(Debug, Default)]
 pub struct Received(AtomicUsize);
 
+impl Received {
+    /// Returns the number of bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// Body that is being received. Its bytes count until it is dropped.
 struct Body<'a> {
     total: &'a Received,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -18,6 +18,14 @@
     let recorder = PrometheusBuilder::new().set_buckets(&BUCKETS_SECONDS)?.build_recorder();
     let handle = recorder.handle();
     metrics::set_global_recorder(recorder)?;
+    describe_requests();
+    describe_use();
+    describe_knowledge();
+    Ok(handle)
+}
+
+/// Describes the metrics of requests, and of the leafs that get them.
+fn describe_requests() {
     describe_counter!("jacinthfall_requests_total", "Requests by route and outcome");
     describe_histogram!(
         "jacinthfall_request_seconds",
@@ -31,7 +39,6 @@
         "jacinthfall_response_seconds",
         "Time of a send until the leaf's success, by route"
     );
-    describe_histogram!("jacinthfall_store_call_seconds", "Time of calls to the store, by kind");
     describe_counter!(
         "jacinthfall_rejections_total",
         "Requests answered before any leaf was chosen, by reason"
@@ -43,23 +50,6 @@
         "jacinthfall_unattributed_responses_total",
         "Responses of leafs that don't name the request that was sent, by what they name"
     );
-    describe_counter!("jacinthfall_store_calls_total", "Calls to the store by kind and outcome");
-    describe_counter!("jacinthfall_exchanges_total", "Exchanges with other nodes by outcome");
-    describe_histogram!("jacinthfall_exchange_seconds", "Time of exchanges, by outcome");
-    describe_counter!(
-        "jacinthfall_configuration_transfers_total",
-        "Attempts to fetch a later configuration from another node, by outcome"
-    );
-    describe_gauge!(
-        "jacinthfall_configuration_behind_seconds",
-        "Time for which a later configuration than the one in force is known to exist"
-    );
-    describe_gauge!("jacinthfall_configuration_version", "Version of the configuration in force");
-    describe_gauge!("jacinthfall_zones_evacuated", "Availability zones that are evacuated");
-    describe_counter!(
-        "jacinthfall_evacuation_statements_dropped_total",
-        "Statements of other nodes on evacuated zones that were implausible"
-    );
     describe_gauge!("jacinthfall_leafs_cold", "Leafs that may be given requests and are cold");
     describe_gauge!("jacinthfall_leafs_usable", "Leafs that may be given requests");
     describe_counter!(
@@ -86,10 +76,6 @@
     );
     describe_gauge!("jacinthfall_services_lost", "Services of which this node reaches no leaf");
     describe_gauge!("jacinthfall_cut_off", "Whether this node reaches no leaf at all");
-    describe_gauge!(
-        "jacinthfall_knowledge_age_seconds",
-        "Time since the store, or a node that it answers, confirmed what this node knows"
-    );
     describe_gauge!(
         "jacinthfall_extra_sends_left",
         "Further sends to a service that the bound still allows this node"
@@ -104,16 +90,64 @@
         "Share of this node in the rate limits that leafs state"
     );
     quotas::describe();
+}
+
+/// Describes the gauges of what requests hold until they end.
+fn describe_use() {
+    describe_gauge!("jacinthfall_requests_in_hand", "Requests without an answer yet");
+    describe_gauge!("jacinthfall_sends_in_flight", "Sends to leafs that have not ended");
+    describe_gauge!("jacinthfall_requests_queued", "Parts of requests that wait for a leaf");
+    describe_gauge!(
+        "jacinthfall_relays_in_flight",
+        "Requests that other nodes are serving on behalf of this node"
+    );
+    describe_gauge!(
+        "jacinthfall_served_for_others",
+        "Requests that this node is serving on behalf of others"
+    );
+    describe_gauge!("jacinthfall_quota_waiting", "Requests that wait for a grant of a quota");
+    describe_gauge!(
+        "jacinthfall_bytes_receiving",
+        "Size of the responses of leafs that are being received"
+    );
+    describe_gauge!(
+        "jacinthfall_leaf_connections",
+        "Connections to leafs that are open or being opened"
+    );
+}
+
+/// Describes the metrics of what this node knows from the store and from other nodes.
+fn describe_knowledge() {
+    describe_histogram!("jacinthfall_store_call_seconds", "Time of calls to the store, by kind");
+    describe_counter!("jacinthfall_store_calls_total", "Calls to the store by kind and outcome");
+    describe_counter!("jacinthfall_exchanges_total", "Exchanges with other nodes by outcome");
+    describe_histogram!("jacinthfall_exchange_seconds", "Time of exchanges, by outcome");
+    describe_counter!(
+        "jacinthfall_configuration_transfers_total",
+        "Attempts to fetch a later configuration from another node, by outcome"
+    );
+    describe_gauge!(
+        "jacinthfall_configuration_behind_seconds",
+        "Time for which a later configuration than the one in force is known to exist"
+    );
+    describe_gauge!("jacinthfall_configuration_version", "Version of the configuration in force");
+    describe_gauge!("jacinthfall_zones_evacuated", "Availability zones that are evacuated");
+    describe_counter!(
+        "jacinthfall_evacuation_statements_dropped_total",
+        "Statements of other nodes on evacuated zones that were implausible"
+    );
+    describe_gauge!(
+        "jacinthfall_knowledge_age_seconds",
+        "Time since the store, or a node that it answers, confirmed what this node knows"
+    );
     describe_gauge!("jacinthfall_nodes", "Nodes that share the bound on extra sends");
     describe_gauge!("jacinthfall_nodes_known", "Nodes that this node knows, itself included");
-    describe_gauge!("jacinthfall_requests_in_hand", "Requests without an answer yet");
     describe_counter!(
         "jacinthfall_store_restores_total",
         "Times that the store returned from an older copy"
     );
     describe_gauge!("jacinthfall_store_era", "Era of the store that this node knows");
     describe_gauge!("jacinthfall_store_answers", "Whether the store answered the last call");
-    Ok(handle)
 }
 
 /// Renders the metrics, after updating the gauges to the current state of the node.
@@ -138,10 +172,25 @@
     text
 }
 
-/// Sets the gauges to the current state of the node.
-fn update_gauges(hub: &Hub) {
+/// Sets the gauges of what requests hold until they end. Each of them returns to zero when no
+/// request is in flight, except for connections, which stay open for a while.
+fn update_use(hub: &Hub) {
     let in_flight = hub.in_flight.load(Ordering::Relaxed);
     gauge!("jacinthfall_requests_in_hand").set(in_flight as f64);
+    let served = hub.served_for_others.load(Ordering::Relaxed);
+    gauge!("jacinthfall_served_for_others").set(served as f64);
+    gauge!("jacinthfall_quota_waiting").set(hub.quotas.waiting() as f64);
+    gauge!("jacinthfall_bytes_receiving").set(hub.received.bytes() as f64);
+    gauge!("jacinthfall_leaf_connections").set(hub.pool.connections() as f64);
+    let tables = hub.tables();
+    gauge!("jacinthfall_sends_in_flight").set(tables.fleet.sends_in_flight() as f64);
+    gauge!("jacinthfall_requests_queued").set(tables.fleet.queued() as f64);
+    gauge!("jacinthfall_relays_in_flight").set(tables.relays.in_flight() as f64);
+}
+
+/// Sets the gauges to the current state of the node.
+fn update_gauges(hub: &Hub) {
+    update_use(hub);
     let answers = hub.store_answers.load(Ordering::Relaxed);
     gauge!("jacinthfall_store_answers").set(if answers { 1.0 } else { 0.0 });
     let now = hub.now();
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -85,6 +85,12 @@
 }
 
 impl Pool {
+    /// Returns the number of connections to all leafs that are open or being opened.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        lock(&self.leafs).values().map(|connections| connections.open).sum()
+    }
+
     /// Whether there is any connection to a leaf.
     #[must_use]
     pub fn is_open(&self, key: Key) -> bool {
--- a/src/gateway/quotas.rs
+++ b/src/gateway/quotas.rs
@@ -137,6 +137,12 @@
         }
     }
 
+    /// Returns the number of requests that wait for a grant.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.state.as_ref().map_or(0, |state| lock(state).waiting)
+    }
+
     /// Whether the settings have quotas.
     #[must_use]
     pub fn is_enabled(&self) -> bool {
