Own the count of a send in flight from the step that takes it

Cause: the driver counted a send as in flight and spawned a task for it; only that task, when first polled, created the guard that uncounts the send. A request that is cancelled in the poll in which it begins aborts tasks that have never run. Their sends stayed counted, and their leafs counted as stalled and got nothing more.

Now a value counts the send when it is created, before anything is spawned, and uncounts it when it is dropped. The task owns it, so an abort drops it, whether the task has run or not.

--- a/src/gateway/callers/driver.rs
+++ b/src/gateway/callers/driver.rs
@@ -15,7 +15,7 @@
 
 use crate::gateway::audit;
 use crate::gateway::hub::Hub;
-use crate::gateway::leafs::{self, Outbound};
+use crate::gateway::leafs::{self, InFlight, Outbound};
 
 /// The end of a send of a part.
 struct Ended {
@@ -187,12 +187,8 @@
     }
 
     fn send(&mut self, part: usize, leaf: Key) {
-        let sent = self.hub.now();
-        {
-            let mut tables = self.hub.tables();
-            tables.fleet.record_send(sent, leaf, self.outbound.usual);
-            tables.parts.add(1);
-        }
+        let in_flight = InFlight::open(self.hub, leaf, self.outbound.usual);
+        let sent = in_flight.sent();
         let hub = Arc::clone(self.hub);
         let outbound = Arc::clone(&self.outbound);
         let ended = self.ended.0.clone();
@@ -201,7 +197,7 @@
         let task = tokio::spawn(async move {
             // The receiver is gone once the caller has its answer.
             let before_write = || _ = writing.send(Writing { part, leaf });
-            let outcome = leafs::send(&hub, leaf, &outbound, sent, before_write).await;
+            let outcome = leafs::send(in_flight, &outbound, before_write).await;
             if matches!(outcome, Outcome::Success(_)) {
                 record_response_time(&hub, &route, hub.now().since(sent));
             }
--- a/src/gateway/leafs.rs
+++ b/src/gateway/leafs.rs
@@ -126,38 +126,57 @@
     }
 }
 
-/// Records the end of a send when it is dropped, even if the future of the send is dropped
-/// before it completes.
-struct Guard<'a> {
-    hub: &'a Hub,
+/// A send that counts as in flight to its leaf until this is dropped, whether or not it has begun:
+/// a task that is aborted before it is first polled drops only what it owns.
+#[derive(Debug)]
+pub struct InFlight {
+    hub: Arc<Hub>,
     key: Key,
+    /// When the leaf was chosen.
     sent: Time,
     ending: Ending,
 }
 
-impl Drop for Guard<'_> {
+impl InFlight {
+    /// Counts a send of a request that usually takes `usual` as in flight to a leaf.
+    #[must_use]
+    pub fn open(hub: &Arc<Hub>, key: Key, usual: Duration) -> InFlight {
+        let sent = hub.now();
+        let mut tables = hub.tables();
+        tables.fleet.record_send(sent, key, usual);
+        tables.parts.add(1);
+        InFlight { hub: Arc::clone(hub), key, sent, ending: Ending::Cancelled }
+    }
+
+    /// Returns when the leaf was chosen.
+    #[must_use]
+    pub fn sent(&self) -> Time {
+        self.sent
+    }
+}
+
+impl Drop for InFlight {
     fn drop(&mut self) {
-        let now = self.hub.now();
+        let hub = &self.hub;
+        let now = hub.now();
         counter!("jacinthfall_sends_total", "outcome" => self.ending.name()).increment(1);
-        let change = self.hub.tables().fleet.record_end(now, self.key, self.sent, self.ending);
+        let change = hub.tables().fleet.record_end(now, self.key, self.sent, self.ending);
         if let Some(change) = change {
-            let hub = self.hub;
             let after = self.ending.name();
             hub.audit.log_leaf_change(hub.now(), &hub.tables, self.key, after, change);
         }
     }
 }
 
-/// Sends a request to a leaf that was chosen at `sent` and waits for its response. Calls
-/// `before_write` before anything is written to the connection.
+/// Sends a request to the leaf of `in_flight` and waits for its response. Calls `before_write`
+/// before anything is written to the connection.
 pub async fn send(
-    hub: &Arc<Hub>,
-    key: Key,
+    mut in_flight: InFlight,
     outbound: &Outbound,
-    sent: Time,
     before_write: impl FnOnce(),
 ) -> Outcome {
-    let mut guard = Guard { hub, key, sent, ending: Ending::Cancelled };
+    let (hub, key) = (Arc::clone(&in_flight.hub), in_flight.key);
+    let hub = &hub;
     let Some((leaf, address, limit)) = ({
         let tables = hub.tables();
         tables.fleet.leaf(key).map(|leaf| {
@@ -171,7 +190,7 @@
     let mut sender = match acquire(hub, key, address, limit, request_id).await {
         Ok(sender) => sender,
         Err(ending) => {
-            guard.ending = ending;
+            in_flight.ending = ending;
             return Outcome::Unsent;
         }
     };
@@ -188,18 +207,18 @@
     let exchange = sender.exchange(request, &hub.received);
     match timeout_at(hub.instant(outbound.timing.deadline), exchange).await {
         Err(_) => {
-            guard.ending = Ending::Silent;
+            in_flight.ending = Ending::Silent;
             hub.close_idle(key);
             Outcome::Unknown
         }
         Ok(Err(connection::Error::Unsent)) => Outcome::Unsent,
         Ok(Err(reason)) => {
             log::debug!("exchange with leaf {leaf} failed after the request was sent: {reason}");
-            guard.ending = Ending::Broken;
+            in_flight.ending = Ending::Broken;
             crashes::check(hub, Break::open(hub, outbound, key, now));
             Outcome::Unknown
         }
-        Ok(Ok(response)) => classify_response(&mut guard, outbound, sender, response),
+        Ok(Ok(response)) => classify_response(&mut in_flight, outbound, sender, response),
     }
 }
 
@@ -218,12 +237,13 @@
 /// Determines the outcome of a send from a complete response, records what the leaf says of itself,
 /// and returns the connection to the pool.
 fn classify_response(
-    guard: &mut Guard<'_>,
+    in_flight: &mut InFlight,
     outbound: &Outbound,
     sender: Sender,
     response: Response<Bytes>,
 ) -> Outcome {
-    let (hub, key) = (guard.hub, guard.key);
+    let (hub, key) = (Arc::clone(&in_flight.hub), in_flight.key);
+    let hub = &hub;
     let now = hub.now();
     let (head, body) = response.into_parts();
     let mut headers = head.headers;
@@ -231,11 +251,11 @@
     let attribution = Attribution::of(outbound.id.as_bytes(), echoed);
     if attribution != Attribution::Own {
         // The connection may be out of sync and must not be reused.
-        guard.ending = Ending::Unattributed;
+        in_flight.ending = Ending::Unattributed;
         hub.audit.log_unattributed(now, &hub.tables, key, &outbound.id, attribution);
         return Outcome::Unknown;
     }
-    notices::record(hub, key, guard.sent, &head.status, &headers);
+    notices::record(hub, key, in_flight.sent, &head.status, &headers);
     if let Some(idle) = idle_time(&headers)
         && !header::is_leaving(&headers)
     {
@@ -250,19 +270,19 @@
         crashes::record_answer(hub, key, outbound.fingerprint);
     }
     if head.status == StatusCode::MISDIRECTED_REQUEST {
-        guard.ending = Ending::Misdirected;
+        in_flight.ending = Ending::Misdirected;
         return Outcome::NotRun;
     }
     if not_run {
-        guard.ending = Ending::Rejected;
+        in_flight.ending = Ending::Rejected;
         return Outcome::NotRun;
     }
     if head.status.is_success() && !encoded && reply.receipt.is_some() {
-        let took = now.since(guard.sent);
-        guard.ending = Ending::Success { took, usual: outbound.usual };
+        let took = now.since(in_flight.sent);
+        in_flight.ending = Ending::Success { took, usual: outbound.usual };
         return Outcome::Success(reply);
     }
-    guard.ending = Ending::Failure;
+    in_flight.ending = Ending::Failure;
     if head.status.is_success() || reply.receipt.is_none() {
         return Outcome::Unknown;
     }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod cancelled;
 mod changes;
 mod copies;
 mod cut_off;
