Give up the turns of a request whose caller leaves

Cause: a request that waits for a leaf has entries in the queues of services, which it removes when it is answered. A caller who left dropped the request without that, so its entries stayed until its objective had passed, and later requests waited behind callers who were gone although a leaf was free.

Now the driver abandons the flight when it is dropped without an answer.

--- a/crates/dispatch/src/flight.rs
+++ b/crates/dispatch/src/flight.rs
@@ -247,6 +247,12 @@
         actions
     }
 
+    /// Gives up the request's turns at leafs, when its caller has left before there was an answer.
+    pub fn abandon(&mut self, fleet: &mut Fleet) {
+        self.finished = true;
+        self.leave_queues(fleet);
+    }
+
     fn answered_count(&self) -> usize {
         self.parts.iter().filter(|part| part.reply.is_some()).count()
     }
--- a/crates/dispatch/src/flight/admission.rs
+++ b/crates/dispatch/src/flight/admission.rs
@@ -80,7 +80,7 @@
                 placements.iter().filter(|placement| may_get_leaf(placement, send_by)).count();
             if candidates < self.min_placed || now >= send_by {
                 self.give_up_unplaced(now, &placements);
-                self.leave_queues(context);
+                self.leave_queues(context.fleet);
                 let retry_after = self.retry_delay(now, &placements, context);
                 return self.refuse(now, retry_after);
             }
--- a/crates/dispatch/src/flight/ending.rs
+++ b/crates/dispatch/src/flight/ending.rs
@@ -40,7 +40,7 @@
         } else {
             return;
         };
-        self.leave_queues(context);
+        self.leave_queues(context.fleet);
         actions.extend(self.finish(answer));
     }
 
--- a/crates/dispatch/src/flight/placement.rs
+++ b/crates/dispatch/src/flight/placement.rs
@@ -11,7 +11,7 @@
 use super::message::Action;
 use super::part::{Obstacle, Part, Reason};
 use super::{Context, Flight};
-use crate::fleet::{Candidates, Demand, Key, Need, Placement, Turn};
+use crate::fleet::{Candidates, Demand, Fleet, Key, Need, Placement, Turn};
 
 /// Minimum time between two searches for a leaf that can take a part.
 pub(super) const MIN_SEARCH_INTERVAL: Duration = Duration::from_millis(3);
@@ -157,11 +157,11 @@
             }
             Placement::RateLimited(_) => {
                 self.parts[part].given_up = Some((now, Obstacle::RateLimit));
-                self.dequeue(part, context);
+                self.dequeue(part, context.fleet);
             }
             Placement::Queue(_) | Placement::Later(_) | Placement::NoLeaf => {
                 self.parts[part].given_up = Some((now, Obstacle::NoLeaf));
-                self.dequeue(part, context);
+                self.dequeue(part, context.fleet);
             }
         }
     }
@@ -181,11 +181,11 @@
     }
 
     /// Removes a part from the queue of its service if it is queued.
-    pub(super) fn dequeue(&mut self, part: usize, context: &mut Context<'_>) {
+    pub(super) fn dequeue(&mut self, part: usize, fleet: &mut Fleet) {
         let turn = self.turn();
         let state = &mut self.parts[part];
         if std::mem::take(&mut state.queued) {
-            context.fleet.dequeue(&state.service, turn, self.answer_by);
+            fleet.dequeue(&state.service, turn, self.answer_by);
         }
     }
 }
--- a/crates/dispatch/src/flight/resend.rs
+++ b/crates/dispatch/src/flight/resend.rs
@@ -66,7 +66,7 @@
         reason: Reason,
         context: &mut Context<'_>,
     ) -> Action {
-        self.dequeue(part, context);
+        self.dequeue(part, context.fleet);
         let assessment = context.fleet.assess(now, leaf, context.latency.quantile(0.5));
         // A leaf that is known to be slow was still the best choice, so another leaf would not
         // be faster. The hedge waits at least for the expected response time.
--- a/crates/dispatch/src/flight/shedding.rs
+++ b/crates/dispatch/src/flight/shedding.rs
@@ -8,7 +8,7 @@
 use super::placement::MAX_SEARCH_INTERVAL;
 use super::retry::{self, Room};
 use super::{Context, Flight};
-use crate::fleet::{Order, Placement};
+use crate::fleet::{Fleet, Order, Placement};
 use crate::overload::shortage::Shard;
 use crate::overload::threshold::Claim;
 use crate::overload::{Limit, Parts, Policy};
@@ -50,9 +50,9 @@
     }
 
     /// Gives up the request's turns at all services.
-    pub(super) fn leave_queues(&mut self, context: &mut Context<'_>) {
+    pub(super) fn leave_queues(&mut self, fleet: &mut Fleet) {
         for part in 0..self.parts.len() {
-            self.dequeue(part, context);
+            self.dequeue(part, fleet);
         }
     }
 
--- a/crates/dispatch/tests/suite/shedding.rs
+++ b/crates/dispatch/tests/suite/shedding.rs
@@ -105,9 +105,8 @@
     assert!(results.iter().all(|results| results.refused_late == 0), "{results:?}");
 }
 
-/// Fills a leaf with its four requests, lets one more wait to be admitted, and lets one end. Returns
-/// whether a second one, which arrives then, gets the place, and whether the first one does.
-fn second_and_first(order: Order, priority: u32) -> (bool, bool) {
+/// Fills a leaf with its four requests, and lets one more wait to be admitted. The time is 4 us then.
+fn full_bench(order: Order) -> Bench {
     let services = ["single".into()];
     let mut bench = Bench::open(Arc::new(single("single", true)), &services, 1);
     bench.fleet.set_order(order);
@@ -115,22 +114,48 @@
     let usual = Duration::from_millis(20);
     (0..4).for_each(|n| bench.fleet.record_send(Time(n), leaf, usual));
     assert!(bench.decide(|flight, context| flight.start(Time(4), context)).is_empty());
-    let now = Time::from_millis(6);
+    bench
+}
+
+/// Lets the first request of the leaf end. Returns whether another one, which arrives then, gets
+/// its place.
+fn is_next_taken(bench: &mut Bench, now: Time, priority: u32) -> bool {
+    let leaf = bench.fleet.leafs("single")[0];
     bench.fleet.record_end(now, leaf, Time(0), Ending::Cancelled);
     let route = Route { priority, ..single("single", true) };
     let timing = timing(Time::from_millis(1_500));
-    let mut second = Flight::open(Arc::new(route), None, now, timing);
-
-    let taken = bench.decide(|_, context| {
+    let mut next = Flight::open(Arc::new(route), None, now, timing);
+    let actions = bench.decide(|_, context| {
         context.priority = priority;
-        second.start(now, context)
+        next.start(now, context)
     });
-    let taken = !sends(&taken).is_empty();
+    !sends(&actions).is_empty()
+}
+
+/// Returns whether a second request gets the place at a full leaf that a first one waits for, and
+/// whether the first one does.
+fn second_and_first(order: Order, priority: u32) -> (bool, bool) {
+    let mut bench = full_bench(order);
+    let now = Time::from_millis(6);
+    let taken = is_next_taken(&mut bench, now, priority);
     let due = bench.flight.next_wake().max(now);
     let first = !sends(&bench.decide(|flight, context| flight.wake(due, context))).is_empty();
     (taken, first)
 }
 
+/// Guards against turns of callers that have left, behind which others wait in vain.
+#[test]
+fn a_request_whose_caller_has_left_keeps_no_turn() {
+    let mut bench = full_bench(Order::Urgency);
+    assert_eq!(bench.fleet.queued(), 1);
+
+    bench.flight.abandon(&mut bench.fleet);
+
+    assert_eq!(bench.fleet.queued(), 0);
+    assert!(is_next_taken(&mut bench, Time::from_millis(6), 1));
+    assert!(bench.decide(|flight, context| flight.wake(Time::from_millis(7), context)).is_empty());
+}
+
 #[test]
 fn a_request_that_waits_to_be_admitted_is_not_overtaken_by_a_later_or_less_urgent_one() {
     // The first request has priority 1. Without turns it is overtaken.
--- a/crates/testkit/src/gateway/site.rs
+++ b/crates/testkit/src/gateway/site.rs
@@ -51,6 +51,8 @@
     pub store: SocketAddr,
     /// The setting `quotas` of nodes that are started; null for none.
     pub quotas: Value,
+    /// The setting `overload` of nodes that are started; an empty object for none.
+    pub overload: Value,
     program: PathBuf,
     folder: PathBuf,
     /// Address of all nodes.
@@ -88,6 +90,7 @@
             nodes: Vec::new(),
             store,
             quotas: Value::Null,
+            overload: json!({}),
             program: program.into(),
             folder,
             host: host(std::process::id(), number),
@@ -262,6 +265,7 @@
             "capacity": {"cores": 1.0, "link_mbps": 1_000.0},
             "stop": {"grace_s": 4},
             "quotas": self.quotas,
+            "overload": self.overload,
         });
         let file = self.folder.join(format!("{name}.jsonc"));
         fs::write(&file, settings.to_string()).expect("settings can be written");
--- a/src/gateway/callers/driver.rs
+++ b/src/gateway/callers/driver.rs
@@ -230,6 +230,7 @@
     fn drop(&mut self) {
         if !self.recorded {
             self.record(None);
+            self.flight.abandon(&mut self.hub.tables().fleet);
         }
     }
 }
--- a/tests/gateway/cancelled.rs
+++ b/tests/gateway/cancelled.rs
@@ -7,9 +7,10 @@
 
 use jacinthfall_net::client::Client;
 use jacinthfall_testkit::gateway::leaf::{Behaviour, Leaf};
-use jacinthfall_testkit::gateway::site::{Node, Request, Site, gather, metric, route};
+use jacinthfall_testkit::gateway::site::{Node, Request, Site, gather, metric, route, wait_for};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde_json::json;
 
 use crate::relay::{encode, query};
 use crate::support::open;
@@ -161,3 +162,33 @@
 fn callers_that_leave_early_for_long_leave_nothing_in_use() {
     assert_free_after_callers_left(Duration::from_secs(40), 3);
 }
+
+/// Guards against a waiting request that keeps its turn after its caller has left: later ones wait
+/// behind it although a leaf is free.
+#[test]
+fn a_caller_that_leaves_while_it_waits_for_a_leaf_gives_up_its_turn() {
+    let leaf = Leaf::spawn("i-1", Behaviour::Silent);
+    let mut site = open();
+    site.overload = json!({"queue": "urgency"});
+    site.register("i-1", "a", &leaf, 1, "ready");
+    site.configure(&[route("safe")]);
+    site.start();
+    site.wait_ready(0);
+    let node = &site.nodes[0];
+    let queued = || metric(node, "jacinthfall_requests_queued");
+    let callers: Vec<TcpStream> = (0..30)
+        .map(|number| {
+            let id = format!("r-{number}");
+            let request = Request { id: &id, ..Request::default() };
+            let mut stream = TcpStream::connect(node.callers).expect("the node listens");
+            stream.write_all(request.text().as_bytes()).expect("the node reads");
+            stream
+        })
+        .collect();
+    wait_for("requests that wait for the leaf", || queued() > Some(0.0));
+
+    drop(callers);
+
+    wait_for("the node to notice", || metric(node, "jacinthfall_requests_in_hand") == Some(0.0));
+    assert_eq!(held(node), [], "for requests that have ended");
+}
