Cancel the sends of a second round when the caller leaves

A node that gets no new connections refuses a request that it can't place as a whole, and then starts a second round. The first round's end had set the mark that its sends run on, and the mark stayed set, so that a caller who left during the second round cancelled nothing.

Now each round begins without the mark. No test shows it: two tries to bring about such a node in a test over processes failed, since it needs open connections to the leafs of some shards and none to those of others at the moment of the request.

--- a/src/gateway/callers/driver.rs
+++ b/src/gateway/callers/driver.rs
@@ -124,6 +124,8 @@
 
     /// Runs the request until there is an answer, which the caller of this function records.
     pub(super) async fn run(&mut self) -> Answer {
+        // An earlier round ended with a refusal, after which none of its sends may begin.
+        self.sends.keep_running = false;
         self.hub.tables().demand.add(self.flight.part_count());
         let mut actions = self.decide(|flight, now, context| flight.start(now, context));
         loop {
