Doubt a watch of the store that proves nothing within the bound

Leafs that drain got requests 4.0 s later.

Cause: nodes took a waiting watch for one that is served. The watching node says that the store answers it until its own call has failed, after the wait of 3 s and a timeout of 1 s.

Now nodes tell each other as of when the store has proved that there were no later changes, as an age in a new datagram. A node whose latest proof is older than half of the bound finds out by itself whether the store answers it, by a renewal of its lease, and watches if so. The nodes of a zone take turns, ever more of them at a time, so that all have asked within two thirds of the bound and few do if the store answers most. The times follow from the bounds of the platform, which are settings now.

--- a/crates/dispatch/src/gossip.rs
+++ b/crates/dispatch/src/gossip.rs
@@ -11,6 +11,7 @@
 use crate::quarantine;
 use crate::quota;
 use crate::roster::Heartbeat;
+use crate::watch;
 
 /// Identifies a route: a digest of its name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -52,4 +53,6 @@
     Evacuation(evacuation::Statement),
     /// Shards that are short of room, as seen by the sender.
     Shortage(shortage::Report),
+    /// As of when the sender knew all changes in the store.
+    Confirmation(watch::Confirmation),
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,7 +14,8 @@
 //! request a leaf's response belongs to.
 //! [`quota`] limits what organisations send to all nodes together, and [`evacuation`] holds the
 //! availability zones that nothing may be sent to. [`transfer`] spreads a large document over the
-//! nodes, and [`configuration`] orders the versions of the one that it is for.
+//! nodes, and [`configuration`] orders the versions of the one that it is for. [`watch`] decides
+//! which nodes ask the store for changes.
 //!
 //! Nothing here opens a socket, reads a clock or starts a thread: the current time is an
 //! argument of every call, and sending is left to the caller.
@@ -38,3 +39,4 @@
 pub mod round_trip;
 pub mod split;
 pub mod transfer;
+pub mod watch;
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -295,7 +295,7 @@
     /// that send every heartbeat to this one.
     pub fn expire(&mut self, now: Time, own: &Node) -> Vec<(id::Name, Change)> {
         let mut changes = Vec::new();
-        let small = self.members.len() <= MAX_BROADCAST_NODES;
+        let small = self.is_small();
         let before = if small { HashSet::new() } else { self.ring(own, Side::Before) };
         self.members.retain(|name, member| {
             let known = member.registered
@@ -403,12 +403,18 @@
         if near.is_empty() { far } else { near }
     }
 
+    /// Whether each node sends its heartbeats to all others.
+    #[must_use]
+    pub fn is_small(&self) -> bool {
+        self.members.len() <= MAX_BROADCAST_NODES
+    }
+
     /// Returns the nodes that the next heartbeat is sent to: all nodes in a small deployment,
     /// else the successors of this node by name in its own zone, and a random sample of the
     /// others.
     pub fn heartbeat_targets(&self, own: &Node, rng: &mut impl Rng) -> Vec<SocketAddr> {
         let peers = |member: &Member| member.node.peers;
-        if self.members.len() <= MAX_BROADCAST_NODES {
+        if self.is_small() {
             return self.members.values().map(peers).collect();
         }
         let ring = if self.is_zone_broadcaster(own) {
--- a/crates/dispatch/src/roster/follower.rs
+++ b/crates/dispatch/src/roster/follower.rs
@@ -27,13 +27,22 @@
         self.is_follower_of_store(now, own) && self.predecessors(now, own).count() < MAX_PROBERS
     }
 
+    /// Returns the number of serving nodes of the zone that come before this one by name, and that
+    /// of all of them, this one included.
+    #[must_use]
+    pub fn turn_in_zone(&self, now: Time, own: &Node) -> (usize, usize) {
+        (self.predecessors(now, own).count(), self.neighbours(now, own).count() + 1)
+    }
+
     /// Iterates over the serving nodes of the zone that come before this one by name.
     fn predecessors(&self, now: Time, own: &Node) -> impl Iterator<Item = &Member> {
+        self.neighbours(now, own).filter(|member| member.node.name < own.name)
+    }
+
+    /// Iterates over the other serving nodes of the zone.
+    fn neighbours(&self, now: Time, own: &Node) -> impl Iterator<Item = &Member> {
         self.members.values().filter(move |member| {
-            member.node.zone == own.zone
-                && member.node.name < own.name
-                && member.phase == Phase::Serving
-                && member.is_heard(now)
+            member.node.zone == own.zone && member.phase == Phase::Serving && member.is_heard(now)
         })
     }
 }
--- a/crates/dispatch/tests/suite/datagrams.rs
+++ b/crates/dispatch/tests/suite/datagrams.rs
@@ -7,11 +7,13 @@
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::evacuation::Statement;
 use jacinthfall_dispatch::gossip::{Datagram, Route, Row};
+use jacinthfall_dispatch::overload::shortage;
 use jacinthfall_dispatch::quarantine::Service;
 use jacinthfall_dispatch::quota::{Ask, Reply};
 use jacinthfall_dispatch::reach::Loss;
 use jacinthfall_dispatch::roster::{Demand, Heartbeat, Node, Phase};
 use jacinthfall_dispatch::transfer::Rank;
+use jacinthfall_dispatch::watch::Confirmation;
 
 /// What the build of commit 7ebd9f8 sends for [`heartbeat`], [`gossip`] and [`quarantine`].
 const LANDED: [&str; 3] = [HEARTBEAT, GOSSIP, QUARANTINE];
@@ -105,9 +107,11 @@
         Datagram::QuotaAsk(ask),
         Datagram::QuotaReply(reply),
         Datagram::Evacuation(Statement::default()),
+        Datagram::Shortage(shortage::Report { asked: 0, rows: Vec::new() }),
+        Datagram::Confirmation(Confirmation { upto: Position::new(0, 5), age_ms: 20 }),
     ];
 
     let kinds = new.map(|datagram| encode(&datagram)[0]);
 
-    assert_eq!(kinds, [3, 4, 5]);
+    assert_eq!(kinds, [3, 4, 5, 6, 7]);
 }
--- a/crates/dispatch/tests/suite/main.rs
+++ b/crates/dispatch/tests/suite/main.rs
@@ -25,3 +25,4 @@
 mod trail;
 mod transfer;
 mod warmup;
+mod watch;
--- a/crates/dispatch/tests/suite/support/mod.rs
+++ b/crates/dispatch/tests/suite/support/mod.rs
@@ -3,6 +3,7 @@
 pub mod cluster;
 pub mod credits;
 pub mod deployment;
+pub mod followers;
 pub mod load;
 pub mod quotas;
 
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -164,7 +164,7 @@
     };
     let value = serde_json::to_vec(&vm).expect("the keys of an entry are strings").into();
     let entry = Entry { key: format!("{NODE_PREFIX}{}", vm.node).into(), value };
-    registration::keep(context.platform.clone(), entry, |_, result| {
+    registration::keep(context.platform.clone(), entry, Arc::default(), |_, result| {
         if result.is_err() {
             counter!("jacinthfall_store_failures_total").increment(1);
         }
--- a/src/gateway/audit/lines.rs
+++ b/src/gateway/audit/lines.rs
@@ -80,7 +80,7 @@
         request.origin.map_or("-", |node| &**node),
         tables.ranks.time_behind(now).as_millis(),
         tables.upto,
-        now.since(tables.confirmed).as_millis(),
+        now.since(tables.knowledge.confirmed()).as_millis(),
     ));
     lines
 }
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -23,7 +23,7 @@
 use jacinthfall_dispatch::quarantine::{self, Fingerprint};
 use jacinthfall_dispatch::roster::{Demand, Node, Phase, Roster};
 use jacinthfall_dispatch::transfer::Slots;
-use jacinthfall_dispatch::{overload, relay, round_trip};
+use jacinthfall_dispatch::{overload, relay, round_trip, watch};
 use jacinthfall_net::clock::Clock;
 use jacinthfall_route::snapshot::Snapshot;
 use metrics::counter;
@@ -89,6 +89,11 @@
     pub store_has_answered: AtomicBool,
     /// Notified when the store stops answering or answers again.
     pub store_changed: Notify,
+    /// Notified when the store has answered a call.
+    pub store_answered: Notify,
+    /// Notified when this node's lease is to be renewed at once, to find out whether the store
+    /// answers.
+    pub renewal_due: Arc<Notify>,
     /// Notified when a later configuration than the one in force is known to exist.
     pub configuration_expected: Notify,
     /// Notified when this node's state has changed, so that a heartbeat is sent at once.
@@ -128,7 +133,7 @@
             evacuations: evacuation::Table::default(),
             upto: Position::START,
             unverified: None,
-            confirmed: Time(0),
+            knowledge: watch::Knowledge::default(),
             fleet,
             budget: Budget::open(settings.budget(), nodes),
             overload: overload::State::open(settings.overload),
@@ -162,6 +167,8 @@
             store_answers: AtomicBool::new(false),
             store_has_answered: AtomicBool::new(false),
             store_changed: Notify::new(),
+            store_answered: Notify::new(),
+            renewal_due: Arc::default(),
             configuration_expected: Notify::new(),
             heartbeat_due: Notify::new(),
             closing: tokio::sync::watch::Sender::new(false),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -118,6 +118,10 @@
 
 /// Describes the metrics of what this node knows from the store and from other nodes.
 fn describe_knowledge() {
+    describe_counter!(
+        "jacinthfall_store_checks_total",
+        "Times that this node found out by itself whether the store answers"
+    );
     describe_histogram!("jacinthfall_store_call_seconds", "Time of calls to the store, by kind");
     describe_counter!("jacinthfall_store_calls_total", "Calls to the store by kind and outcome");
     describe_counter!("jacinthfall_exchanges_total", "Exchanges with other nodes by outcome");
@@ -138,7 +142,7 @@
     );
     describe_gauge!(
         "jacinthfall_knowledge_age_seconds",
-        "Time since the store, or a node that it answers, confirmed what this node knows"
+        "Time since the store confirmed, to this node or another one, what this node knows"
     );
     describe_gauge!("jacinthfall_nodes", "Nodes that share the bound on extra sends");
     describe_gauge!("jacinthfall_nodes_known", "Nodes that this node knows, itself included");
@@ -212,7 +216,7 @@
     gauge!("jacinthfall_nodes").set(tables.nodes as f64);
     gauge!("jacinthfall_requests_quarantined").set(tables.quarantine.quarantined(now) as f64);
     gauge!("jacinthfall_rate_limit_share").set(tables.fleet.share());
-    let age = now.since(tables.confirmed);
+    let age = now.since(tables.knowledge.confirmed());
     gauge!("jacinthfall_knowledge_age_seconds").set(age.as_secs_f64());
     let services = tables.configuration.as_ref();
     let services: Vec<id::Name> =
--- a/src/gateway/peers/heartbeats.rs
+++ b/src/gateway/peers/heartbeats.rs
@@ -10,6 +10,7 @@
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::gossip::Datagram;
 use jacinthfall_dispatch::roster::{Heartbeat, Node, Phase};
+use jacinthfall_dispatch::watch::Confirmation;
 use metrics::counter;
 use rand::SeedableRng;
 use rand::seq::IteratorRandom;
@@ -55,6 +56,9 @@
         let targets = targets(&hub, &mut rng, beat.phase != phase);
         phase = beat.phase;
         send_to_all(&socket, &Datagram::Heartbeat(beat), &targets);
+        if let Some(confirmation) = confirmation(&hub) {
+            send_to_all(&socket, &Datagram::Confirmation(confirmation), &targets);
+        }
         if let Some((news, targets)) = quarantine(&hub, &mut rng) {
             send_to_all(&socket, &news, &targets);
         }
@@ -126,6 +130,13 @@
     targets
 }
 
+/// Returns what is new about how far this node knows the changes in the store.
+fn confirmation(hub: &Hub) -> Option<Confirmation> {
+    let mut tables = hub.tables();
+    let (upto, passes_on) = (tables.upto, !tables.roster.is_small());
+    tables.knowledge.next_statement(hub.now(), &hub.settings.schedule(), upto, passes_on)
+}
+
 fn heartbeat(hub: &Hub) -> Heartbeat {
     let tables = hub.tables();
     let load = 1_000.0 * tables.parts.rate() / f64::from(hub.own.capacity.max(1));
@@ -190,6 +201,12 @@
                 }
                 continue;
             }
+            Ok((Datagram::Confirmation(confirmation), _)) => {
+                let mut tables = hub.tables();
+                let upto = tables.upto;
+                tables.knowledge.merge(hub.now(), &confirmation, upto);
+                continue;
+            }
             Err(_) => {
                 log::warn!("event=heartbeat_unreadable bytes={length}");
                 continue;
@@ -210,9 +227,6 @@
                 }
             }
             let is_same_era = beat.upto.era == tables.upto.era;
-            if beat.store_answers && is_same_era && beat.upto <= tables.upto {
-                tables.confirmed = now;
-            }
             let verifies =
                 tables.unverified.is_some() && is_same_era && beat.phase == Phase::Serving;
             let ahead = beat.upto > tables.upto || verifies;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use jacinthfall_core::id;
+use jacinthfall_dispatch::watch::Schedule;
 use jacinthfall_dispatch::{budget, overload, quota};
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, DurationSeconds, serde_as};
@@ -41,6 +42,9 @@
     pub capacity: Capacity,
     /// Planned stops.
     pub stop: Stop,
+    /// Bounds within which changes in the store take effect.
+    #[serde(default)]
+    pub changes: Changes,
     /// Rule that quotas of organisations are kept by; they aren't limited if omitted.
     #[serde(default)]
     pub quotas: Option<Quotas>,
@@ -140,6 +144,32 @@
     pub grace: Duration,
 }
 
+/// Bounds within which changes in the store take effect at all nodes that reach it.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Changes {
+    /// Bound for versions of the configuration, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "configuration_ms")]
+    pub configuration: Duration,
+    /// Bound for leafs that drain, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "drain_ms")]
+    pub drain: Duration,
+    /// Bound for evacuations, in milliseconds; none if omitted.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(rename = "evacuation_ms")]
+    pub evacuation: Option<Duration>,
+}
+
+impl Default for Changes {
+    fn default() -> Changes {
+        let bound = Duration::from_secs(3);
+        Changes { configuration: bound, drain: bound, evacuation: None }
+    }
+}
+
 /// Rule that quotas of organisations are kept by: in every window, an organisation's requests at
 /// all nodes stay within its quota and the room that is stated here.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -198,6 +228,14 @@
         budget::Limit { ratio: extra.ratio, floor: extra.floor, window: extra.window }
     }
 
+    /// Returns when nodes ask the store for changes: such that each kind keeps to its bound.
+    #[must_use]
+    pub fn schedule(&self) -> Schedule {
+        let Changes { configuration, drain, evacuation } = self.changes;
+        let bound = configuration.min(drain);
+        Schedule::of(evacuation.map_or(bound, |evacuation| bound.min(evacuation)))
+    }
+
     /// Returns the seed addresses; this node's own one may be among them.
     #[must_use]
     pub fn seeds(&self) -> Vec<SocketAddr> {
@@ -223,6 +261,17 @@
         let capacity = &self.capacity;
         value(capacity.cores > 0.0, "capacity.cores", positive, &capacity.cores)?;
         value(capacity.link_mbps > 0.0, "capacity.link_mbps", positive, &capacity.link_mbps)?;
+        let Changes { configuration, drain, evacuation } = self.changes;
+        let bounds = [
+            ("changes.configuration_ms", Some(configuration)),
+            ("changes.drain_ms", Some(drain)),
+            ("changes.evacuation_ms", evacuation),
+        ];
+        for (key, bound) in bounds.into_iter().filter_map(|(key, bound)| Some((key, bound?))) {
+            let allowed = "1000 to 600000 milliseconds are allowed";
+            let bound_ms = bound.as_millis();
+            value((1_000..=600_000).contains(&bound_ms), key, allowed, &bound_ms)?;
+        }
         let at_least_one = "1 or more is needed";
         if let Some(Quotas { window_s, overage, slack }) = &self.quotas {
             let window = "1 to 3600 seconds are allowed";
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -10,6 +10,7 @@
 use jacinthfall_core::history::Position;
 use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::roster::Node;
+use jacinthfall_dispatch::watch::Role;
 use metrics::{counter, histogram};
 
 use super::evacuation;
@@ -24,11 +25,7 @@
 /// Prefix of the keys that a node follows: all keys.
 const ALL_KEYS: &str = "";
 
-/// Maximum wait of one watch call. A store that was unresponsive for a moment may never
-/// answer a watch that was waiting, so a short wait limits the delay of a change.
-const MAX_WATCH_WAIT: Duration = Duration::from_secs(3);
-
-/// Interval between two checks whether this node is the one of its zone that watches the store.
+/// Interval between two decisions whether this node watches the store.
 const ROLE_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time after the start in which a node doesn't watch the store: it can't know yet whether
@@ -55,8 +52,8 @@
     tokio::spawn(follow(Arc::clone(hub), client.clone()));
     let value = serde_json::to_vec(&hub.own).expect("a node has string keys only").into();
     let entry = Entry { key: format!("{NODE_PREFIX}{}", hub.own.name).into(), value };
-    let recorder = Arc::clone(hub);
-    tokio::spawn(registration::keep(client, entry, move |call, result| {
+    let (recorder, due) = (Arc::clone(hub), Arc::clone(&hub.renewal_due));
+    tokio::spawn(registration::keep(client, entry, due, move |call, result| {
         record_result(&recorder, call, result)
     }));
 }
@@ -90,9 +87,15 @@
     counter!("jacinthfall_store_calls_total", "call" => call, "outcome" => outcome).increment(1);
     let answers = matches!(outcome, "ok" | "rejected");
     let before = hub.store_answers.swap(answers, Ordering::Relaxed);
+    if answers {
+        hub.tables().knowledge.record_answer(hub.now());
+        hub.store_answered.notify_one();
+    }
     if before == answers {
         return;
     }
+    // The other nodes must know who can watch the store.
+    hub.heartbeat_due.notify_one();
     if answers {
         let first = !hub.store_has_answered.swap(true, Ordering::Relaxed);
         let event = if first { "store_reached" } else { "store_regained" };
@@ -107,7 +110,8 @@
 }
 
 /// Reads all keys unless peers have sent the data, then follows the changes until the future
-/// is dropped. One node of each zone watches the store; the others get the changes from it.
+/// is dropped. One node of each zone watches the store; the others get the changes from it while
+/// it proves that the store answers.
 async fn follow(hub: Arc<Hub>, client: Client) {
     let mut backoff = Backoff::open();
     let mut evacuations = Evacuations::default();
@@ -121,27 +125,35 @@
             backoff.pause().await;
             continue;
         }
-        let is_new = hub.now().since(Time(0)) < MIN_WATCH_UPTIME;
-        if is_new || !watches_store(&hub) {
-            tokio::time::sleep(ROLE_POLL_INTERVAL).await;
-            continue;
-        }
-        if follow_once(&hub, &client).await.is_err() {
-            backoff.pause().await;
-        } else {
-            backoff.reset();
+        match role(&hub) {
+            Role::Watch(wait) if follow_once(&hub, &client, wait).await.is_ok() => backoff.reset(),
+            Role::Watch(_) => backoff.pause().await,
+            Role::Check => check(&hub).await,
+            Role::Rely(left) => tokio::time::sleep(left.min(ROLE_POLL_INTERVAL)).await,
         }
     }
 }
 
-/// Whether this node watches the store on behalf of its zone, or tries to.
-fn watches_store(hub: &Hub) -> bool {
-    let (now, tables) = (hub.now(), hub.tables());
-    if hub.store_answers.load(Ordering::Relaxed) {
-        tables.roster.is_follower_of_store(now, &hub.own)
-    } else {
-        tables.roster.is_prober_of_store(now, &hub.own)
+/// Returns what this node does now about changes in the store.
+fn role(hub: &Hub) -> Role {
+    let now = hub.now();
+    if now.since(Time(0)) < MIN_WATCH_UPTIME {
+        return Role::Rely(ROLE_POLL_INTERVAL);
     }
+    let mut tables = hub.tables();
+    let upto = tables.upto;
+    tables.knowledge.advance(upto);
+    let answers = hub.store_answers.load(Ordering::Relaxed);
+    tables.knowledge.role(now, &hub.settings.schedule(), &tables.roster, &hub.own, answers)
+}
+
+/// Finds out whether the store answers this node: has its lease renewed, which costs less than a
+/// watch.
+async fn check(hub: &Hub) {
+    counter!("jacinthfall_store_checks_total").increment(1);
+    hub.renewal_due.notify_one();
+    // Without an answer, the renewal itself is repeated, with a backoff.
+    let _ = tokio::time::timeout(ROLE_POLL_INTERVAL, hub.store_answered.notified()).await;
 }
 
 /// Reads of the evacuations alone, by a node that got the registrations of leafs from nodes that
@@ -171,7 +183,7 @@
 }
 
 /// Makes one watch call, after reading a configuration that the watch would pass over.
-async fn follow_once(hub: &Arc<Hub>, client: &Client) -> Result<(), Error> {
+async fn follow_once(hub: &Arc<Hub>, client: &Client, wait: Duration) -> Result<(), Error> {
     let passed_over = {
         let tables = hub.tables();
         tables.ranks.is_passed_over(tables.upto)
@@ -179,7 +191,7 @@
     if passed_over && let Some(item) = measure(hub, "get", client.get(configuration::KEY)).await? {
         apply_configuration(hub, &item);
     }
-    watch(hub, client).await
+    watch(hub, client, wait).await
 }
 
 /// Waits up to [`MAX_PEERS_WAIT`] for data from other nodes. Nodes that are seeds themselves
@@ -196,11 +208,11 @@
 }
 
 /// Makes one watch call, from the place up to which all changes are known.
-async fn watch(hub: &Arc<Hub>, client: &Client) -> Result<(), Error> {
+async fn watch(hub: &Arc<Hub>, client: &Client, wait: Duration) -> Result<(), Error> {
     let upto = hub.tables().upto;
     let changed = hub.store_changed.notified();
     let result = tokio::select! {
-        result = measure(hub, "watch", client.watch(ALL_KEYS, upto, MAX_WATCH_WAIT)) => result,
+        result = measure(hub, "watch", client.watch(ALL_KEYS, upto, wait)) => result,
         // A watch that was waiting when the store became unresponsive may never be answered.
         () = changed => return Err(Error::Unknown("the store's reachability changed".to_owned())),
     };
@@ -224,6 +236,7 @@
 
 /// Reads all keys.
 async fn list(hub: &Arc<Hub>, client: &Client) -> Result<(), Error> {
+    let started = hub.now();
     let listing = measure(hub, "list", client.list(ALL_KEYS)).await?;
     let mut leafs = Vec::new();
     let mut nodes = HashSet::new();
@@ -248,7 +261,7 @@
         }
         if listing.at >= before {
             tables.roster.retain_registrations(&nodes);
-            tables.confirmed = now;
+            tables.knowledge.record_read(started);
         }
         tables.upto = before.max(listing.at);
         (before, tables.catalog.apply_listing(now, leafs, listing.at))
@@ -285,7 +298,7 @@
         let mut tables = hub.tables();
         tables.upto = tables.upto.max(changes.at);
         tables.evacuations.advance(after, changes.at);
-        tables.confirmed = now;
+        tables.knowledge.record_read(now);
     }
     if !changed.is_empty() {
         hub.apply_leaf_changes(&changed, "store");
--- a/src/gateway/tables.rs
+++ b/src/gateway/tables.rs
@@ -22,6 +22,7 @@
 use jacinthfall_dispatch::round_trip;
 use jacinthfall_dispatch::split::Selector;
 use jacinthfall_dispatch::transfer::{Edition, Slots};
+use jacinthfall_dispatch::watch;
 use jacinthfall_route::snapshot::{Route, Snapshot};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -138,9 +139,8 @@
     /// Set after this node has read a store that was restored once, until another node has said
     /// what it knows: since when.
     pub unverified: Option<Time>,
-    /// When the store, or a node whose calls the store answers, last confirmed that there are no
-    /// later changes.
-    pub confirmed: Time,
+    /// As of when all changes are known, and whether the store answers.
+    pub knowledge: watch::Knowledge,
     /// Leafs that requests are sent to.
     pub fleet: Fleet,
     /// Budget of retries and hedged sends.
--- a/src/registration.rs
+++ b/src/registration.rs
@@ -1,11 +1,13 @@
 //! Keeps a node's entry in the platform's store, under a lease that it renews.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use jacinthfall_adapter::store::{Client, Error, Lease, Put};
 use jacinthfall_core::id;
 use rand::Rng;
+use tokio::sync::Notify;
 
 /// Time after the last renewal at which the lease expires and the entry is removed.
 const LEASE_TTL: Duration = Duration::from_secs(10);
@@ -56,11 +58,12 @@
     pub value: Bytes,
 }
 
-/// Keeps an entry in the store until the future is dropped. `on_result` receives the name and
-/// the result of each call.
+/// Keeps an entry in the store until the future is dropped. The lease is renewed at once when `due`
+/// is notified. `on_result` receives the name and the result of each call.
 pub async fn keep(
     client: Client,
     entry: Entry,
+    due: Arc<Notify>,
     mut on_result: impl FnMut(&'static str, &Result<(), Error>),
 ) {
     let mut backoff = Backoff::open();
@@ -77,7 +80,7 @@
         match result {
             Ok(()) => {
                 backoff.reset();
-                tokio::time::sleep(RENEWAL_INTERVAL).await;
+                let _ = tokio::time::timeout(RENEWAL_INTERVAL, due.notified()).await;
             }
             Err(Error::LeaseEnded) => {
                 log::info!("event=registration_ended key={} reason=lease", entry.key);
--- a/tests/gateway/faults.rs
+++ b/tests/gateway/faults.rs
@@ -186,3 +186,74 @@
         assert_eq!(status_of_moved(&site, 1), 200, "a version in force must never be reverted");
     }
 }
+
+/// Starts a site of `nodes` nodes of which each reaches the store through a proxy of its own.
+fn behind_proxies_to_store(leaf: &Leaf, nodes: usize) -> (Site, Vec<Proxy>) {
+    let mut site = open();
+    site.register("i-0", "a", leaf, 1, "ready");
+    site.configure(&[route("safe")]);
+    let mut proxies = Vec::new();
+    for node in 0..nodes {
+        let proxy = Proxy::spawn(site.store).expect("a free port");
+        site.start_with(proxy.address);
+        site.wait_ready(node);
+        proxies.push(proxy);
+    }
+    (site, proxies)
+}
+
+/// Lets the store fall silent for the first node, which watches it for the others, just after a watch
+/// has begun, so that its answer is due late.
+fn silence_watching_node(site: &Site, proxies: &[Proxy]) {
+    // A change lets the watch begin anew.
+    site.put("servers/none", Some("{}".to_owned()));
+    thread::sleep(Duration::from_millis(700));
+    proxies[0].set_fault(Fault::Blackhole);
+}
+
+/// Regression test: the node that watches the store for its zone got no answer any more, and the
+/// others, which the store answers, kept to an old version for up to 4 s.
+#[test]
+fn a_store_that_falls_silent_for_the_watching_node_delays_no_version_at_the_others() {
+    let leaf = serving_leaf("i-0", b"ok");
+    let (mut site, proxies) = behind_proxies_to_store(&leaf, 3);
+    let mut moved = route("safe");
+    moved["prefix"] = "/moved/".into();
+    let status_of_moved = |site: &Site, node| {
+        let request = Request { target: "/moved/1", ..Request::default() };
+        site.ask(node, &request).status
+    };
+    silence_watching_node(&site, &proxies);
+
+    site.configure(&[moved]);
+    let acknowledged = Instant::now();
+
+    for node in [1, 2] {
+        wait_for("the version", || status_of_moved(&site, node) == 200);
+        let took = acknowledged.elapsed();
+        assert!(took < MAX_APPLY_TIME, "node {node}: {took:?}");
+    }
+}
+
+/// The same failure, of a leaf that drains.
+#[test]
+fn a_store_that_falls_silent_for_the_watching_node_delays_no_drain_at_the_others() {
+    let (old, new) = (serving_leaf("i-0", b"old"), serving_leaf("i-1", b"new"));
+    let (site, proxies) = behind_proxies_to_store(&old, 3);
+    site.register("i-1", "a", &new, 1, "ready");
+    wait_for("connections to the new leaf", || new.connections() >= 3);
+    silence_watching_node(&site, &proxies);
+
+    site.register("i-0", "a", &old, 2, "draining");
+    let acknowledged = Instant::now();
+
+    let mut number = 0;
+    while acknowledged.elapsed() < MAX_APPLY_TIME + Duration::from_secs(1) {
+        for node in [1, 2] {
+            number += 1;
+            ask(&site, node, &format!("r-{number}"));
+        }
+    }
+    let late = last_run(&old).map(|at| at.saturating_duration_since(acknowledged));
+    assert!(late < Some(MAX_APPLY_TIME), "a draining leaf ran a request {late:?} later");
+}
