Take a status that HTTP doesn't define for no answer

Callers of a route to a single service got a leaf's response with status 600 to 999 as it came. 000, and all numbers below 200, were no answers before, as the test shows: it held 000, 001 and 099 already.

Cause: the HTTP library takes three digits from 100 on, and the classification took each status that is no success for the leaf's own failure.

Now the exchange fails with a status that no final response has, as it does for a switch of protocols. What became of the request is unknown then.

The test failed before with three more numbers (left: 600, right: 502).

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -45,6 +45,9 @@
     /// The response isn't final: nothing asked the leaf to switch protocols.
     #[error("the leaf switched protocols without being asked to; check the leaf")]
     Switched,
+    /// HTTP defines no such status. hyper fails for numbers below 100, and takes those up to 999.
+    #[error("the leaf sent status {0}, which HTTP doesn't define; check the leaf")]
+    Undefined(StatusCode),
     /// The body exceeds its limit.
     #[error("the leaf sent a body of more than {MAX_BODY_BYTES} bytes; check the leaf")]
     TooLarge,
@@ -91,6 +94,16 @@
     }
 }
 
+/// Checks that a status is one of a final response.
+fn check_status(status: StatusCode) -> Result<(), Error> {
+    match status.as_u16() {
+        200..=599 => Ok(()),
+        // hyper skips the other interim responses.
+        ..200 => Err(Error::Switched),
+        600.. => Err(Error::Undefined(status)),
+    }
+}
+
 /// An open connection that can take one request at a time.
 #[derive(Debug)]
 pub struct Sender {
@@ -170,10 +183,7 @@
                 None => return Err(error.into_error().into()),
             },
         };
-        // hyper skips the other interim responses.
-        if response.status().is_informational() {
-            return Err(Error::Switched);
-        }
+        check_status(response.status())?;
         // The body has limits of its own; this leaves room for its framing.
         self.allowance.expect(2 * MAX_BODY_BYTES);
         let (head, mut incoming) = response.into_parts();
--- a/tests/gateway/answers.rs
+++ b/tests/gateway/answers.rs
@@ -122,7 +122,7 @@
 }
 
 /// Status lines that aren't those of a final response.
-const ODD_STATUSES: [&str; 12] = [
+const ODD_STATUSES: [&str; 15] = [
     "HTTP/1.1 000 OK",
     "HTTP/1.1 000",
     "HTTP/1.1 001 OK",
@@ -133,6 +133,9 @@
     "HTTP/1.1 2 00 OK",
     "HTTP/1.1 2000 OK",
     "HTTP/1.1 abc OK",
+    "HTTP/1.1 600 OK",
+    "HTTP/1.1 799 OK",
+    "HTTP/1.1 999 OK",
     "HTTP/1.1 101 Switching Protocols",
     "HTTP/1.1  200 OK",
 ];
