--- a/crates/dispatch/src/watch.rs
+++ b/crates/dispatch/src/watch.rs
@@ -139,20 +139,24 @@
     /// assert_eq!(knowledge.confirmed(), Time::from_millis(80));
     /// ```
     pub fn merge(&mut self, now: Time, confirmation: &Confirmation, upto: Position) {
+        let place = confirmation.upto;
         let at = now - Duration::from_millis(confirmation.age_ms.into());
-        if self.ahead.is_none_or(|(_, known)| known < at) {
-            self.ahead = Some((confirmation.upto, at));
+        if place <= upto {
+            self.confirm(place, at, upto);
+        } else if self.ahead.is_none_or(|(_, known)| known < at) {
+            self.ahead = Some((place, at));
         }
-        self.advance(upto);
     }
 
     /// Records that this node knows all changes up to a place.
     pub fn advance(&mut self, upto: Position) {
-        let Some((place, at)) = self.ahead else { return };
-        if place > upto {
-            return;
+        if let Some((place, at)) = self.ahead.take_if(|(place, _)| *place <= upto) {
+            self.confirm(place, at, upto);
         }
-        self.ahead = None;
+    }
+
+    /// Records the proof of a node that knew all changes up to `place`.
+    fn confirm(&mut self, place: Position, at: Time, upto: Position) {
         // A place in an earlier era says nothing of what came after the store's return from a copy.
         if place.era == upto.era {
             self.confirmed = self.confirmed.max(at);
--- a/crates/dispatch/tests/suite/watch.rs
+++ b/crates/dispatch/tests/suite/watch.rs
@@ -2,13 +2,54 @@
 
 use std::time::Duration;
 
+use jacinthfall_core::history::Position;
 use jacinthfall_core::time::Time;
+use jacinthfall_dispatch::watch::{Confirmation, Knowledge};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::support::followers::{Followers, Mode};
 
+/// Lets a node that knows all changes up to `upto` hear of a proof that is 10 ms old, at 1 s.
+fn hear(knowledge: &mut Knowledge, place: Position, upto: Position) {
+    let confirmation = Confirmation { upto: place, age_ms: 10 };
+    knowledge.merge(Time::from_millis(1_000), &confirmation, upto);
+}
+
+#[test]
+fn a_proof_counts_once_the_changes_that_it_covers_are_known() {
+    let mut knowledge = Knowledge::default();
+    let (early, late) = (Position::new(1, 5), Position::new(1, 9));
+    hear(&mut knowledge, late, early);
+    assert_eq!(knowledge.confirmed(), Time(0));
+
+    knowledge.advance(late);
+
+    assert_eq!(knowledge.confirmed(), Time::from_millis(990));
+}
+
+#[test]
+fn a_proof_of_known_changes_counts_while_later_changes_are_awaited() {
+    let mut knowledge = Knowledge::default();
+    let (early, late) = (Position::new(1, 5), Position::new(1, 9));
+    hear(&mut knowledge, late, early);
+
+    hear(&mut knowledge, early, early);
+
+    assert_eq!(knowledge.confirmed(), Time::from_millis(990));
+}
+
+/// Guards against a proof from before the store returned from an older copy.
+#[test]
+fn a_proof_of_an_earlier_era_counts_for_nothing() {
+    let mut knowledge = Knowledge::default();
+
+    hear(&mut knowledge, Position::new(0, 20), Position::new(1, 5));
+
+    assert_eq!(knowledge.confirmed(), Time(0));
+}
+
 /// A deployment: its size, the bound within which changes must be known, and the calls per second
 /// that the store accepts.
 #[derive(Clone, Copy, Debug)]
