--- a/src/gateway/leafs.rs
+++ b/src/gateway/leafs.rs
@@ -175,8 +175,8 @@
     outbound: &Outbound,
     before_write: impl FnOnce(),
 ) -> Outcome {
-    let (hub, key) = (Arc::clone(&in_flight.hub), in_flight.key);
-    let hub = &hub;
+    let hub = &Arc::clone(&in_flight.hub);
+    let key = in_flight.key;
     let Some((leaf, address, limit)) = ({
         let tables = hub.tables();
         tables.fleet.leaf(key).map(|leaf| {
@@ -242,8 +242,8 @@
     sender: Sender,
     response: Response<Bytes>,
 ) -> Outcome {
-    let (hub, key) = (Arc::clone(&in_flight.hub), in_flight.key);
-    let hub = &hub;
+    let hub = &Arc::clone(&in_flight.hub);
+    let key = in_flight.key;
     let now = hub.now();
     let (head, body) = response.into_parts();
     let mut headers = head.headers;
--- a/src/gateway/peers/heartbeats.rs
+++ b/src/gateway/peers/heartbeats.rs
@@ -1,5 +1,4 @@
-//! Datagrams: what this node tells the others about itself and about callers, and what it learns
-//! from theirs.
+//! Datagrams to other nodes: what this node tells them about itself, the store and callers.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,37 +6,28 @@
 use std::time::Duration;
 
 use bincode::config::standard;
-use jacinthfall_core::time::Time;
 use jacinthfall_dispatch::gossip::Datagram;
-use jacinthfall_dispatch::roster::{Heartbeat, Node, Phase};
+use jacinthfall_dispatch::roster::{Heartbeat, Phase};
 use jacinthfall_dispatch::watch::Confirmation;
-use metrics::counter;
 use rand::SeedableRng;
 use rand::seq::IteratorRandom;
 use rand_chacha::ChaCha8Rng;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
 
-use super::quotas;
 use crate::gateway::evacuation;
-use crate::gateway::hub::{Hub, MAX_WATCH_LAG};
+use crate::gateway::hub::Hub;
 
 /// Interval between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Maximum size of a datagram, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 2 * 1024;
-
-/// Time after which a node knows about callers what the others know.
-const SETTLING_TIME: Duration = Duration::from_secs(5);
-
 /// Number of nodes that what is new about callers is sent to, at each interval.
 const GOSSIP_TARGETS: usize = 6;
 
 /// Number of nodes that are told which zones are evacuated at each interval, without news. Each node
 /// is told by as many others, so that it is rarely missed twice in a row.
 const EVACUATION_TARGETS: usize = 3;
+
 /// Number of nodes that observations of short shards are sent to, at each interval.
 const SHORTAGE_TARGETS: usize = 4;
 
@@ -152,98 +142,3 @@
         loss: tables.fleet.loss(),
     }
 }
-
-/// Whether a node had been running long enough to know about callers when this one started.
-fn is_settled(node: &Node, own: &Node) -> bool {
-    let running = Duration::from_millis(own.started.saturating_sub(node.started));
-    running >= SETTLING_TIME
-}
-
-/// Receives heartbeats, and requests an exchange with a sender that knows later changes.
-pub(super) async fn receive(
-    hub: Arc<Hub>,
-    socket: Arc<UdpSocket>,
-    exchanges: mpsc::Sender<SocketAddr>,
-) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    let mut behind_since: Option<Time> = None;
-    loop {
-        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
-            tokio::time::sleep(HEARTBEAT_INTERVAL).await;
-            continue;
-        };
-        let decoded =
-            bincode::serde::decode_from_slice::<Datagram, _>(&buffer[..length], standard());
-        let beat = match decoded {
-            Ok((Datagram::Heartbeat(beat), _)) => beat,
-            Ok((Datagram::Gossip(_), _)) => continue,
-            Ok((Datagram::Quarantine(rows), _)) => {
-                hub.merge_quarantine(&rows);
-                continue;
-            }
-            Ok((Datagram::QuotaAsk(ask), _)) => {
-                quotas::answer(&hub, &socket, &ask, from);
-                continue;
-            }
-            Ok((Datagram::QuotaReply(reply), _)) => {
-                hub.quotas.receive_reply(&reply);
-                continue;
-            }
-            Ok((Datagram::Evacuation(statement), _)) => {
-                evacuation::merge(&hub, &statement);
-                continue;
-            }
-            Ok((Datagram::Shortage(report), _)) => {
-                let mut tables = hub.tables();
-                let is_known = tables.roster.members().any(|member| member.node.peers == from);
-                if !is_known || !tables.overload.merge(hub.now(), from, &report) {
-                    counter!("jacinthfall_shortage_reports_dropped_total").increment(1);
-                }
-                continue;
-            }
-            Ok((Datagram::Confirmation(confirmation), _)) => {
-                let mut tables = hub.tables();
-                let upto = tables.upto;
-                tables.knowledge.merge(hub.now(), &confirmation, upto);
-                continue;
-            }
-            Err(_) => {
-                log::warn!("event=heartbeat_unreadable bytes={length}");
-                continue;
-            }
-        };
-        if beat.node.name == hub.own.name {
-            continue;
-        }
-        let now = hub.now();
-        hub.expect_configuration(beat.configuration);
-        let (ahead, follows) = {
-            let mut tables = hub.tables();
-            if tables.roster.record_heartbeat(now, &beat) {
-                log::info!("event=node name={} phase={:?}", beat.node.name, beat.phase);
-                if beat.phase == Phase::Starting {
-                    // It may not know any node yet, so it is sent a heartbeat at once.
-                    hub.heartbeat_due.notify_one();
-                }
-            }
-            let is_same_era = beat.upto.era == tables.upto.era;
-            let verifies =
-                tables.unverified.is_some() && is_same_era && beat.phase == Phase::Serving;
-            let ahead = beat.upto > tables.upto || verifies;
-            if !ahead && !tables.quarantine_received && is_settled(&beat.node, &hub.own) {
-                let _ = exchanges.try_send(beat.node.peers);
-            }
-            (ahead, ahead && tables.roster.is_follower_of_store(now, &hub.own))
-        };
-        if !ahead {
-            continue;
-        }
-        let since = *behind_since.get_or_insert(now);
-        let watches = follows && hub.store_answers.load(Ordering::Relaxed);
-        if !watches || now.since(since) >= MAX_WATCH_LAG {
-            behind_since = None;
-            // One exchange at a time is enough; the next heartbeat triggers another one.
-            let _ = exchanges.try_send(beat.node.peers);
-        }
-    }
-}
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -1,6 +1,6 @@
 //! Communication with other nodes: heartbeats over UDP, and requests over HTTP/2.
 //!
-//! A heartbeat (`heartbeats`) states how far its sender knows the changes in the store, and
+//! A heartbeat (sent in `heartbeats`, handled in `receiver`) states how far its sender knows the changes in the store, and
 //! which configuration it has in force. A node that is behind asks the sender for the changes that
 //! it lacks, in an exchange (`exchange`). A configuration may be large, so it is transferred
 //! separately (`configuration`) and never delays changes of leafs. A node that has lost its links
@@ -10,6 +10,7 @@
 mod exchange;
 mod heartbeats;
 mod quotas;
+mod receiver;
 pub mod relay;
 
 use std::io;
@@ -178,7 +179,7 @@
         let (exchanges, requested) = mpsc::channel(1);
         tokio::spawn(heartbeats::send(Arc::clone(&hub), Arc::clone(&socket)));
         tokio::spawn(quotas::run(Arc::clone(&hub), Arc::clone(&socket)));
-        tokio::spawn(heartbeats::receive(Arc::clone(&hub), socket, exchanges));
+        tokio::spawn(receiver::run(Arc::clone(&hub), socket, exchanges));
         tokio::spawn(configuration::follow(Arc::clone(&hub)));
         tokio::spawn(exchange::catch_up(hub, requested));
         self.server
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -126,8 +126,10 @@
             continue;
         }
         match role(&hub) {
-            Role::Watch(wait) if follow_once(&hub, &client, wait).await.is_ok() => backoff.reset(),
-            Role::Watch(_) => backoff.pause().await,
+            Role::Watch(wait) => match follow_once(&hub, &client, wait).await {
+                Ok(()) => backoff.reset(),
+                Err(_) => backoff.pause().await,
+            },
             Role::Check => check(&hub).await,
             Role::Rely(left) => tokio::time::sleep(left.min(ROLE_POLL_INTERVAL)).await,
         }
