Test that requests hold nothing after any mix of ends

Random requests of two kinds over a shared fleet start, wait, are refused, fail, finish and are abandoned while leafs come and go; after each step the sends in flight are those that have not ended, and nothing is held at the end. The same for requests through other nodes.

--- a/crates/dispatch/tests/suite/main.rs
+++ b/crates/dispatch/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod callers;
 mod catalog;
+mod counts;
 mod datagrams;
 mod evacuation;
 mod fleet;
