Let the soak's callers keep their connections

Callers of the soak opened a connection for each request. Now they keep them, and use the open ones until the process at the other end is gone, whether or not it is still named to callers. Two checks are new: a request that ran is not cut by a planned stop, and no node holds anything for requests once all callers are gone. The callers have a module of their own.

--- a/crates/testkit/src/gateway/site.rs
+++ b/crates/testkit/src/gateway/site.rs
@@ -22,6 +22,17 @@
 /// Pause between two polls of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Gauges of what requests hold until they end.
+const HELD: [&str; 7] = [
+    "jacinthfall_requests_in_hand",
+    "jacinthfall_served_for_others",
+    "jacinthfall_quota_waiting",
+    "jacinthfall_bytes_receiving",
+    "jacinthfall_sends_in_flight",
+    "jacinthfall_requests_queued",
+    "jacinthfall_relays_in_flight",
+];
+
 /// Number of sites that this process has started; makes the names of their folders unique.
 static SITES: AtomicU32 = AtomicU32::new(0);
 
@@ -335,6 +346,13 @@
     value?.parse().ok()
 }
 
+/// Returns the gauges of what requests hold at a node until they end, those that aren't zero.
+#[must_use]
+pub fn held(node: &Node) -> Vec<(&'static str, f64)> {
+    let values = HELD.iter().map(|name| (*name, metric(node, name).unwrap_or(f64::NAN)));
+    values.filter(|(_, value)| *value != 0.0).collect()
+}
+
 /// Whether a node reports that it is ready.
 pub fn ready(node: &Node) -> bool {
     call::send("GET", node.readiness, "/api/ready", None, None).is_some_and(|r| r.status == 200)
@@ -386,6 +404,15 @@
 impl Request<'_> {
     /// Serialises the request for a connection of its own.
     pub fn text(&self) -> String {
+        self.text_with("Connection: close\r\n")
+    }
+
+    /// Serialises the request for a connection that is used again.
+    pub fn text_for_kept_connection(&self) -> String {
+        self.text_with("")
+    }
+
+    fn text_with(&self, connection: &str) -> String {
         let Request { method, target, id, deadline_ms, headers, body } = self;
         let length = match body.len() {
             0 => String::new(),
@@ -393,7 +420,7 @@
         };
         format!(
             "{method} {target} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: {id}\r\n\
-             X-Deadline-Ms: {deadline_ms}\r\nConnection: close\r\n{headers}{length}\r\n{body}"
+             X-Deadline-Ms: {deadline_ms}\r\n{connection}{headers}{length}\r\n{body}"
         )
     }
 }
--- a/crates/testkit/src/gateway/soak.rs
+++ b/crates/testkit/src/gateway/soak.rs
@@ -15,12 +15,14 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
 
+mod caller;
 mod disturbance;
 mod organisations;
 
 use super::leaf::{Behaviour, Copies, Leaf, Run};
 use super::proxy::{Fault, Proxy};
-use super::site::{Request, Response, Site, gather, metric, route, try_exchange};
+use super::site::{self, Request, Response, Site, gather, metric, route, try_exchange};
+use caller::Lost;
 
 /// Number of leafs of each service.
 const LEAFS_PER_SERVICE: usize = 3;
@@ -47,6 +49,9 @@
 /// again.
 const RECOVERY_TIME: Duration = Duration::from_secs(4);
 
+/// Longest time from a request until its response.
+const MAX_REQUEST_TIME: Duration = Duration::from_secs(2);
+
 /// Statuses that guarantee that a request has not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -98,6 +103,16 @@
     /// Ids of requests whose status guarantees that they did not run.
     not_run: Mutex<Vec<String>>,
     violations: Mutex<Vec<String>>,
+    /// Requests without a complete response.
+    lost: Mutex<Vec<Lost>>,
+}
+
+/// A planned stop of a node.
+struct Stop {
+    /// Address of the node.
+    node: SocketAddr,
+    begun: Instant,
+    ended: Instant,
 }
 
 /// Runs a soak with nodes of `program` and reports what was observed.
@@ -113,7 +128,7 @@
         .map(|number| {
             let shared = Arc::clone(&shared);
             let seed = plan.seed.wrapping_mul(31).wrapping_add(number as u64);
-            thread::spawn(move || run_caller(&shared, seed))
+            thread::spawn(move || caller::run(&shared, seed))
         })
         .collect();
     let leafs: Vec<Leaf> = soak.servers.iter().map(|server| server.leaf.clone()).collect();
@@ -149,63 +164,6 @@
     }
 }
 
-/// Sends requests to random nodes and checks the answers, until the soak stops.
-fn run_caller(shared: &Shared, seed: u64) {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    while !shared.stop.load(Ordering::Relaxed) {
-        let node = shared.nodes.read().expect("not poisoned").choose(&mut rng).copied();
-        let Some(node) = node else { continue };
-        let number = shared.next.fetch_add(1, Ordering::Relaxed);
-        let is_gather = rng.random_bool(0.5);
-        // Ids of requests that must not run twice begin with `u`.
-        let id = format!("{}-{number:06}", if is_gather { "g" } else { "u" });
-        let (method, target) = if is_gather { ("GET", "/g/1") } else { ("POST", "/a/1") };
-        let headers = organisations::headers(organisations::of(number));
-        let request =
-            Request { method, target, id: &id, deadline_ms: 1_500, headers: &headers, body: "" };
-        let bytes = try_exchange(node, request.text().as_bytes()).unwrap_or_default();
-        let response = Response::parse(&bytes);
-        check_answer(shared, &id, is_gather, &response);
-        let mut statuses = shared.statuses.lock().expect("not poisoned");
-        *statuses.entry(response.status).or_default() += 1;
-        drop(statuses);
-        thread::sleep(Duration::from_millis(rng.random_range(1..15)));
-    }
-}
-
-/// Checks an answer on its own, without the runs at leafs.
-fn check_answer(shared: &Shared, id: &str, is_gather: bool, response: &Response) {
-    if NOT_RUN.contains(&response.status) {
-        shared.record_not_run(id);
-        if response.status == 503 && response.header("retry-after").is_none() {
-            shared.record_violation(format!("{id}: status 503 without a Retry-After header"));
-        }
-    }
-    if response.status != 200 {
-        return;
-    }
-    if !is_gather {
-        if response.body != id.as_bytes() {
-            let body = String::from_utf8_lossy(&response.body);
-            shared.record_violation(format!(
-                "{id}: answered with the body `{body}` instead of the id"
-            ));
-        }
-        return;
-    }
-    let stamps = response.header("x-part-stamps").unwrap_or_default();
-    let stamps: Vec<&str> = stamps.split(", ").collect();
-    let missing = response.header("x-missing-parts").and_then(|count| count.parse().ok());
-    if stamps.len() + missing.unwrap_or(0_usize) != SERVICES.len() - 1 {
-        shared.record_violation(format!(
-            "{id}: stamps {stamps:?} and {missing:?} missing parts don't add up to all shards"
-        ));
-    }
-    if stamps.iter().any(|stamp| !stamp.ends_with(&format!(".{id}"))) {
-        shared.record_violation(format!("{id}: stamps of other requests: {stamps:?}"));
-    }
-}
-
 struct Soak {
     site: Site,
     proxy: Proxy,
@@ -221,6 +179,7 @@
     faults: BTreeMap<&'static str, usize>,
     /// When the store, the link to it or a node was disturbed.
     disturbances: Vec<Instant>,
+    stops: Vec<Stop>,
     nodes: usize,
     is_short_timeout: bool,
     /// Since when [`EVACUATED_ZONE`] is evacuated.
@@ -271,6 +230,7 @@
             links_rng: ChaCha8Rng::seed_from_u64(!plan.seed ^ 0x6c69_6e6b),
             faults: BTreeMap::new(),
             disturbances: Vec::new(),
+            stops: Vec::new(),
             nodes: plan.nodes,
             is_short_timeout: false,
             evacuated_since: None,
@@ -337,8 +297,10 @@
     /// Stops a node as planned while callers keep using it.
     fn stop(&mut self) {
         let index = self.random_node();
+        let (node, begun) = (self.site.nodes[index].callers, Instant::now());
         self.site.nodes[index].process.terminate();
         let status = self.site.nodes[index].process.wait();
+        self.stops.push(Stop { node, begun, ended: Instant::now() });
         if !status.success() {
             let name = &self.site.nodes[index].name;
             self.shared.record_violation(format!("{name}: a planned stop ended with {status}"));
@@ -588,8 +550,38 @@
         }
     }
 
+    /// Checks that no request was passed on by a node that then stopped as planned without
+    /// answering it. `runs` counts the runs of each request.
+    fn check_stops(&self, runs: &BTreeMap<String, usize>) {
+        let lost = self.shared.lost.lock().expect("not poisoned");
+        for Lost { id, node, sent } in lost.iter() {
+            let is_cause = |stop: &&Stop| {
+                stop.node == *node && *sent < stop.ended && *sent + MAX_REQUEST_TIME > stop.begun
+            };
+            if runs.contains_key(id) && self.stops.iter().any(|stop| is_cause(&stop)) {
+                self.shared.record_violation(format!("{id} ran and was cut by a planned stop"));
+            }
+        }
+    }
+
+    /// Checks that no node holds anything for requests that have ended.
+    fn check_idle(&self) {
+        let end = Instant::now() + 3 * RECOVERY_TIME;
+        for node in &self.site.nodes {
+            let mut held = site::held(node);
+            while !held.is_empty() && Instant::now() < end {
+                thread::sleep(Duration::from_millis(100));
+                held = site::held(node);
+            }
+            if !held.is_empty() {
+                self.shared.record_violation(format!("{} holds {held:?} when idle", node.name));
+            }
+        }
+    }
+
     /// Checks the invariants that need all runs at leafs, and builds the report.
     fn finish(self) -> Report {
+        self.check_idle();
         (0..self.servers.len()).for_each(|index| self.check_drained(index));
         self.check_evacuations();
         let all: Vec<Run> = self.servers.iter().flat_map(|server| server.leaf.runs()).collect();
@@ -602,6 +594,7 @@
         for (id, count) in runs.iter().filter(|(id, count)| id.starts_with('u') && **count > 1) {
             self.shared.record_violation(format!("{id} ran {count} times"));
         }
+        self.check_stops(&runs);
         for id in self.shared.not_run.lock().expect("not poisoned").iter() {
             if runs.contains_key(id) {
                 self.shared.record_violation(format!(
--- a/tests/gateway/cancelled.rs
+++ b/tests/gateway/cancelled.rs
@@ -7,7 +7,9 @@
 
 use jacinthfall_net::client::Client;
 use jacinthfall_testkit::gateway::leaf::{Behaviour, Leaf};
-use jacinthfall_testkit::gateway::site::{Node, Request, Site, gather, metric, route, wait_for};
+use jacinthfall_testkit::gateway::site::{
+    Node, Request, Site, gather, held, metric, route, wait_for,
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
@@ -15,17 +17,6 @@
 use crate::relay::{encode, query};
 use crate::support::open;
 
-/// Gauges of what requests hold until they end.
-const HELD: [&str; 7] = [
-    "jacinthfall_requests_in_hand",
-    "jacinthfall_served_for_others",
-    "jacinthfall_quota_waiting",
-    "jacinthfall_bytes_receiving",
-    "jacinthfall_sends_in_flight",
-    "jacinthfall_requests_queued",
-    "jacinthfall_relays_in_flight",
-];
-
 /// Time that leafs take to answer.
 const RESPONSE_TIME: Duration = Duration::from_millis(15);
 
@@ -58,12 +49,6 @@
     (site, leafs)
 }
 
-/// Returns the gauges of a node that aren't zero.
-fn held(node: &Node) -> Vec<(&'static str, f64)> {
-    let values = HELD.iter().map(|name| (*name, metric(node, name).unwrap_or(f64::NAN)));
-    values.filter(|(_, value)| *value != 0.0).collect()
-}
-
 /// Checks that no request holds anything at a node, and that it serves its callers.
 fn assert_free(site: &Site, node: usize) {
     thread::sleep(NOTICE);
