Let the soak leave each service a leaf that may be used

The report now names the leafs that the nodes may use, and there were none: both leafs outside of the evacuated zone drained, so the refusals were right. A leaf now drains only if its service keeps another one outside of the zone that may be evacuated; the check is as it was.

--- a/crates/testkit/src/gateway/soak.rs
+++ b/crates/testkit/src/gateway/soak.rs
@@ -408,12 +408,18 @@
         self.site.configure(&[single, gather(0.6)]);
     }
 
+    /// Lets a leaf drain, unless its service might be left without any: the zone of the first leaf
+    /// of each service may be evacuated meanwhile.
     fn drain(&mut self) {
         let index = self.rng.random_range(0..self.servers.len());
-        let service = self.servers[index].service;
-        let ready =
-            self.servers.iter().filter(|s| s.service == service && s.draining_since.is_none());
-        if ready.count() < 2 || self.servers[index].draining_since.is_some() {
+        let Server { service, zone, draining_since, .. } = &self.servers[index];
+        let is_ready = |other: &&Server| {
+            other.service == *service
+                && other.zone != EVACUATED_ZONE
+                && other.draining_since.is_none()
+        };
+        let is_last = *zone != EVACUATED_ZONE && self.servers.iter().filter(is_ready).count() < 2;
+        if is_last || draining_since.is_some() {
             return;
         }
         let server = &mut self.servers[index];
@@ -526,6 +532,16 @@
         }
     }
 
+    /// Returns the leafs of a service that are neither draining nor in an evacuated zone.
+    fn usable_leafs(&self, service: &str) -> Vec<&str> {
+        let is_evacuated =
+            |server: &Server| server.zone == EVACUATED_ZONE && self.evacuated_since.is_some();
+        let usable = self.servers.iter().filter(|server| {
+            server.service == service && server.draining_since.is_none() && !is_evacuated(server)
+        });
+        usable.map(|server| server.id.as_str()).collect()
+    }
+
     /// Checks that every node serves requests again.
     fn check_recovery(&self) {
         let end = Instant::now() + 3 * RECOVERY_TIME;
@@ -542,7 +558,10 @@
                     break;
                 }
                 if Instant::now() > end {
-                    self.shared.record_violation(format!("{} does not serve again", node.name));
+                    let (name, leafs) = (&node.name, self.usable_leafs("a"));
+                    self.shared.record_violation(format!(
+                        "{name} does not serve again; leafs that it may use: {leafs:?}"
+                    ));
                     break;
                 }
                 thread::sleep(Duration::from_millis(50));
