Let the test leaf drop the handles of connections that have ended

The test that sends 600 requests a second for 40 s, started by hand, failed twice: its leafs ran out of descriptors ("Too many open files"), since they kept a handle of each connection that they had accepted until a crash.

A leaf now drops the handle when the connection ends.

--- a/crates/testkit/src/gateway/leaf.rs
+++ b/crates/testkit/src/gateway/leaf.rs
@@ -1,6 +1,6 @@
 //! A leaf that speaks HTTP/1.1 and can be made to misbehave.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -128,8 +128,8 @@
     copies: Mutex<Copies>,
     connections: AtomicUsize,
     closed_connections: Mutex<usize>,
-    /// Open connections, and some that have been closed.
-    open: Mutex<Vec<TcpStream>>,
+    /// Open connections, by number.
+    open: Mutex<HashMap<usize, TcpStream>>,
     /// Set while the leaf crashes: how long it won't listen.
     crash: Mutex<Option<Duration>>,
 }
@@ -276,17 +276,20 @@
             return;
         }
         let state = Arc::clone(shared);
-        state.connections.fetch_add(1, Ordering::Relaxed);
+        let number = state.connections.fetch_add(1, Ordering::Relaxed);
         let open = stream.try_clone().expect("a second handle");
-        state.open.lock().expect("not poisoned").push(open);
-        thread::spawn(move || serve(&state, stream));
+        state.open.lock().expect("not poisoned").insert(number, open);
+        thread::spawn(move || {
+            serve(&state, stream);
+            state.open.lock().expect("not poisoned").remove(&number);
+        });
     }
 }
 
 /// Closes all connections and the listener, for `pause`.
 fn crash(state: &State, address: SocketAddr, pause: Duration) {
     *state.crash.lock().expect("not poisoned") = Some(pause);
-    for stream in state.open.lock().expect("not poisoned").drain(..) {
+    for (_, stream) in state.open.lock().expect("not poisoned").drain() {
         // An error means that the connection is closed already.
         let _ = stream.shutdown(Shutdown::Both);
     }
