Mark sends to run on only when there is an answer

A refusal aborted its sends and marked them to run on all the same, so that a second round had to take the mark back. Now the mark is set for other answers only, and nothing has to be undone.

--- a/src/gateway/callers/driver.rs
+++ b/src/gateway/callers/driver.rs
@@ -124,17 +124,17 @@
 
     /// Runs the request until there is an answer, which the caller of this function records.
     pub(super) async fn run(&mut self) -> Answer {
-        // An earlier round ended with a refusal, after which none of its sends may begin.
-        self.sends.keep_running = false;
         self.hub.tables().demand.add(self.flight.part_count());
         let mut actions = self.decide(|flight, now, context| flight.start(now, context));
         loop {
             if let Some(answer) = self.execute(actions) {
                 if matches!(answer, Answer::Refused { .. }) {
+                    // A further round may follow, whose sends end with this.
                     self.sends.abort();
+                } else {
+                    // Sends that are in flight run on: they measure the response times of leafs.
+                    self.sends.keep_running = true;
                 }
-                // Sends that are still in flight run on: they measure the response times of leafs.
-                self.sends.keep_running = true;
                 return answer;
             }
             let wake = self.hub.instant(self.flight.next_wake());
