--- a/crates/dispatch/tests/suite/support/followers.rs
+++ b/crates/dispatch/tests/suite/support/followers.rs
@@ -1,7 +1,7 @@
 //! Nodes in virtual time that learn of changes in a store, which leaves some of them without an
 //! answer.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -372,9 +372,9 @@
         member.knowledge.merge(self.now, news, place);
     }
 
-    /// Returns the nodes of each zone in the order of their names.
+    /// Returns the nodes of each zone in the order of their names; the zones are in order, too.
     pub fn zones(&self) -> Vec<Vec<usize>> {
-        let mut zones: HashMap<&str, Vec<usize>> = HashMap::new();
+        let mut zones: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
         for (number, member) in self.members.iter().enumerate() {
             zones.entry(&*member.own.zone).or_default().push(number);
         }
