Share the moved route between two tests of versions, and simplify two places

The route that a later version adds, and the request for it, stood in two tests of faults. The soak's check of planned stops took references of references, and a constant of the watch was public without a use outside of its module.

--- a/crates/dispatch/src/watch.rs
+++ b/crates/dispatch/src/watch.rs
@@ -20,7 +20,7 @@
 use crate::roster::{Node, Roster};
 
 /// Shortest wait of a watch. The store answers it at once.
-pub const MIN_WAIT: Duration = Duration::from_millis(1);
+const MIN_WAIT: Duration = Duration::from_millis(1);
 
 /// Parts of the bound that a watch waits, after which a proof is too old, and over which the nodes
 /// spread their checks from then on. The rest is left for the calls, for the transfer of what has
--- a/crates/testkit/src/gateway/soak.rs
+++ b/crates/testkit/src/gateway/soak.rs
@@ -574,10 +574,10 @@
     fn check_stops(&self, runs: &BTreeMap<String, usize>) {
         let lost = self.shared.lost.lock().expect("not poisoned");
         for Lost { id, node, sent } in lost.iter() {
-            let is_cause = |stop: &&Stop| {
+            let is_cause = |stop: &Stop| {
                 stop.node == *node && *sent < stop.ended && *sent + MAX_REQUEST_TIME > stop.begun
             };
-            if runs.contains_key(id) && self.stops.iter().any(|stop| is_cause(&stop)) {
+            if runs.contains_key(id) && self.stops.iter().any(is_cause) {
                 self.shared.record_violation(format!("{id} ran and was cut by a planned stop"));
             }
         }
--- a/tests/gateway/faults.rs
+++ b/tests/gateway/faults.rs
@@ -46,6 +46,18 @@
     site.ask(node, &Request { id, ..Request::default() }).status
 }
 
+/// A route that a later version of the configuration adds.
+fn moved_route() -> Value {
+    let mut moved = route("safe");
+    moved["prefix"] = "/moved/".into();
+    moved
+}
+
+/// Asks a node on [`moved_route`].
+fn status_of_moved(site: &Site, node: usize) -> u16 {
+    site.ask(node, &Request { target: "/moved/1", ..Request::default() }).status
+}
+
 /// Resets all connections, then lets new ones through.
 fn reset(proxies: &[Proxy]) {
     proxies.iter().for_each(|proxy| proxy.set_fault(Fault::Reset));
@@ -168,14 +180,8 @@
     let mut site = serving(&[route("safe")], &[("i-0", "a", &leaf)]);
     site.start();
     site.wait_ready(1);
-    let mut moved = route("safe");
-    moved["prefix"] = "/moved/".into();
-    let status_of_moved = |site: &Site, node| {
-        let request = Request { target: "/moved/1", ..Request::default() };
-        site.ask(node, &request).status
-    };
 
-    site.configure(&[moved]);
+    site.configure(&[moved_route()]);
     wait_for("the version at the first node", || status_of_moved(&site, 0) == 200);
     site.nodes[0].process.kill();
     let killed = Instant::now();
@@ -217,15 +223,9 @@
 fn a_store_that_falls_silent_for_the_watching_node_delays_no_version_at_the_others() {
     let leaf = serving_leaf("i-0", b"ok");
     let (mut site, proxies) = behind_proxies_to_store(&leaf, 3);
-    let mut moved = route("safe");
-    moved["prefix"] = "/moved/".into();
-    let status_of_moved = |site: &Site, node| {
-        let request = Request { target: "/moved/1", ..Request::default() };
-        site.ask(node, &request).status
-    };
     silence_watching_node(&site, &proxies);
 
-    site.configure(&[moved]);
+    site.configure(&[moved_route()]);
     let acknowledged = Instant::now();
 
     for node in [1, 2] {
