--- a/review/rig-3/rig.rs
+++ b/review/rig-3/rig.rs
@@ -111,9 +111,14 @@
     }
 }
 
-/// Ends the test because it can't run.
+/// Processes that were started and haven't been ended.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the test because it can't run, and all processes that it started.
 pub fn stop(reason: &str) -> ! {
     eprintln!("the case could not run: {reason}");
+    let started = STARTED.lock().map(|started| started.clone()).unwrap_or_default();
+    started.into_iter().for_each(|process| send_signal(process, signal::KILL));
     std::process::exit(EXIT_NOT_RUN)
 }
 
@@ -126,6 +131,12 @@
 pub struct Process(pub Child);
 
 impl Process {
+    /// Takes over a process that has just been started.
+    fn open(child: Child) -> Process {
+        STARTED.lock().unwrap().push(child.id());
+        Process(child)
+    }
+
     pub fn signal(&self, signal: i32) {
         send_signal(self.0.id(), signal);
     }
@@ -137,6 +148,7 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
+        STARTED.lock().unwrap().retain(|process| *process != self.0.id());
         let _ = self.0.kill();
         let _ = self.0.wait();
     }
@@ -195,7 +207,7 @@
         let _ = BufReader::new(child.stdout.take().unwrap()).read_line(&mut line);
         let address = line.trim().strip_prefix("listening ").and_then(|text| text.parse().ok());
         let address = address.unwrap_or_else(|| stop("the store's stand-in says no address"));
-        Store { address, _process: Process(child) }
+        Store { address, _process: Process::open(child) }
     }
 
     /// Writes a key, as the operator or a leaf does; `None` removes it.
@@ -321,7 +333,7 @@
             readiness: self.readiness,
             addresses: self.addresses,
             peers: self.peers,
-            process: Process(child),
+            process: Process::open(child),
         }
     }
 }
